kcgate, kcedge: Refuse new requests late in a stop

Change: when the platform has noticed that the instance is not ready, idle connections are closed and new requests are refused. The list of upstreams is read with a wait.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -49,9 +49,12 @@
 	// was removed is then known to be valid no longer than 2.5 s ago, half of
 	// the shortest time in which that must take effect.
 	configWaitMs = 1500 * kcclock.Millisecond
-	// upstreamPauseMs is the pause between reads of the list of upstreams,
-	// well below the 2.5 s after which a leaving one must get no request.
-	upstreamPauseMs = 1000 * kcclock.Millisecond
+	// upstreamWaitMs is how long a read of the list of upstreams waits.
+	upstreamWaitMs = 3000 * kcclock.Millisecond
+	// upstreamPauseMs is the pause between reads of the list that find records,
+	// so that many changes at once are read together. It is well below the
+	// 2.5 s after which a leaving upstream must get no request.
+	upstreamPauseMs = 200 * kcclock.Millisecond
 	// progressWaitMs is how long a read of the state of orders waits.
 	progressWaitMs = 3000 * kcclock.Millisecond
 	// callMs bounds a call of the store: it takes 4 ms, and 350 ms on the
@@ -100,7 +103,7 @@
 		})
 	}
 	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, e.applyOperator)
-	e.upstreams = follow(kcplatform.TopicUpstreams, 0, upstreamPauseMs, e.applyUpstreams)
+	e.upstreams = follow(kcplatform.TopicUpstreams, upstreamWaitMs, upstreamPauseMs, e.applyUpstreams)
 	e.progress = follow(kcplatform.TopicProgress, progressWaitMs, 0, e.applyProgress)
 	e.gate = kcgate.New(kcgate.Options{
 		Deployment: opts.Deployment, Codec: kcplatform.Codec{}, Pool: e.pool, Clock: clock, Wall: kcclock.System{},
--- a/internal/kcedge/stop.go
+++ b/internal/kcedge/stop.go
@@ -22,6 +22,8 @@
 	e.gate.Leave()
 	e.Log.Info("stopping", "running", e.gate.Running(), "graceMs", e.Deployment.Bounds.GraceMs)
 	_ = kcclock.Wait(context.Background(), clock, min(awareMs, e.Deployment.Bounds.GraceMs/2))
+	e.gate.Close()
+	e.conns.closeIdle(1)
 	left := e.Deployment.Bounds.GraceMs - lastMs - (clock.Now() - began)
 	ctx, cancel := kcclock.WithTimeout(context.Background(), clock, left)
 	defer cancel()
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -50,7 +50,7 @@
 	Topic  string
 	// WaitMs is how long a read waits at the store for a record.
 	WaitMs kcclock.Millis
-	// PauseMs is the time between reads.
+	// PauseMs is the time after a read that found records.
 	PauseMs kcclock.Millis
 	// CallMs bounds a call beyond WaitMs.
 	CallMs kcclock.Millis
@@ -112,7 +112,7 @@
 			f.opts.Log.Info("dependency regained", "dependency", "store", "topic", f.opts.Topic, "offset", f.End())
 		}
 		whole, lost, pause = false, false, firstPause
-		if n == 0 || f.opts.WaitMs == 0 {
+		if n > 0 {
 			f.wait(ctx, f.opts.PauseMs)
 		}
 	}
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -84,19 +84,20 @@
 // ServeHTTP answers one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, rc: http.NewResponseController(w), received: g.Clock.Now()}
-	if !g.stop.enter() {
+	leaving, closed := g.stop.enter()
+	if leaving {
 		w.Header().Set("Connection", "close")
 	}
 	defer g.stop.exit()
 	defer x.report()
-	if x.admit() {
+	if x.admit(closed) {
 		x.run()
 	}
 }
 
 // admit matches the request and reads its body. It reports whether the request
 // may be sent; otherwise it has been answered.
-func (x *exchange) admit() bool {
+func (x *exchange) admit(closed bool) bool {
 	g := x.g
 	ask, err := g.Codec.Ask(x.r)
 	if err != nil {
@@ -104,6 +105,9 @@
 		return x.refuse(http.StatusBadRequest, reasonBadRequest, 0)
 	}
 	x.ask = ask
+	if closed {
+		return x.refuse(http.StatusServiceUnavailable, reasonStopping, elsewhereMs)
+	}
 	if x.table = g.Table(); x.table == nil || !g.Upstreams.Known() {
 		return x.refuse(http.StatusServiceUnavailable, reasonNoConfig, startMs)
 	}
--- a/internal/kcgate/stop.go
+++ b/internal/kcgate/stop.go
@@ -10,17 +10,20 @@
 	mu      sync.Mutex
 	running int
 	left    bool
+	// closed is true once no new request is taken.
+	closed bool
 	// idle is closed when nothing runs, if someone waits for it.
 	idle chan struct{}
 }
 
-// enter counts a request. It returns false if the instance is leaving, so that
-// the connection must be closed after the answer.
-func (s *stopState) enter() bool {
+// enter counts a request. It tells whether the instance is leaving, so that
+// the connection must be closed after the answer, and whether the request is
+// too late to be taken.
+func (s *stopState) enter() (leaving, closed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
-	return !s.left
+	return s.left, s.closed
 }
 
 func (s *stopState) exit() {
@@ -47,6 +50,14 @@
 	g.stop.left = true
 }
 
+// Close refuses new requests from now on: a stop waits for those that run, and
+// one that begins late could not end.
+func (g *Gate) Close() {
+	g.stop.mu.Lock()
+	defer g.stop.mu.Unlock()
+	g.stop.closed = true
+}
+
 // Running returns the number of requests without an answer.
 func (g *Gate) Running() int {
 	g.stop.mu.Lock()
