kcgate: Leave a silent upstream only if it shows no sign of life

Change: a try is given up only if the upstream sent nothing to any request for 600 ms, the wait follows from the usual time for the prompt, and the repeat is taken from the budget first.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -28,8 +28,13 @@
 	// plainSilentPart is the same for requests that answer at once. Their
 	// objective leaves no room for a second try, so the first may go on.
 	plainSilentPart = 2.0
-	// failedAnswerMs is the least time before an answer counts as an error of
-	// the version.
+	// silentPace is the number of usual times to the first event after which
+	// a try is checked.
+	silentPace = 2.5
+	// aliveMs is how long an upstream may be silent on all connections. Engines
+	// send an event to each stream every 20 to 100 ms.
+	aliveMs = 600 * kcclock.Millisecond
+	// urgencyBase leaves room for requests that are more urgent than any route.
 	urgencyBase = 3
 	maxUrgency  = 9
 )
@@ -83,7 +88,7 @@
 				return
 			}
 		case lost:
-			if !x.mayRepeat() || !x.g.takeRepeat(x.service) {
+			if !x.mayRepeat() || !x.takeRepeat() {
 				x.fail(ctx, reasonUnknown, 0)
 				return
 			}
@@ -92,6 +97,16 @@
 	}
 }
 
+// takeRepeat takes one more send from the retry budget, unless one was taken
+// when the last try was given up.
+func (x *exchange) takeRepeat() bool {
+	if x.reserved {
+		x.reserved = false
+		return true
+	}
+	return x.g.takeRepeat(x.service)
+}
+
 // mayRepeat reports whether the request may run once more.
 func (x *exchange) mayRepeat() bool {
 	return x.route.MayRepeat() && x.sends.runs() < x.route.MaxAttempts && x.left() > minLeftMs
@@ -124,7 +139,7 @@
 // try sends the request to one upstream and passes its answer on.
 func (x *exchange) try(ctx context.Context, c choice, model string) verdict {
 	now := x.g.Clock.Now()
-	x.sends = append(x.sends, send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now})
+	x.sends = append(x.sends, send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now, confidence: -1})
 	last := len(x.sends) - 1
 	end := func(e execution, detail string) {
 		s := &x.sends[last]
@@ -132,7 +147,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := x.watchSilence(c, cancel)
+	watch := x.watchSilence(c, model, cancel)
 	resp, err := x.g.Pool.Do(ctx, c.Address, x.request(c, model, x.ask.LastEvent))
 	watch()
 	if err != nil {
@@ -142,6 +157,12 @@
 	if head.HasLoad {
 		x.g.Upstreams.report(c, head.Load)
 	}
+	if x.ask.PromptTokens > 0 && !head.NotRun && resp.StatusCode == http.StatusOK {
+		x.g.paces.learn(model, x.ask.PromptTokens, x.g.Clock.Now()-now)
+	}
+	if head.HasConfidence {
+		x.sends[last].confidence = head.Confidence
+	}
 	switch {
 	case head.NotRun:
 		resp.Finish()
@@ -156,7 +177,7 @@
 		return lost
 	case x.shouldEscalate(c, head, model):
 		resp.Abort()
-		end(ran, "confidence="+itoa(head.Confidence))
+		end(ran, "weak")
 		x.g.Upstreams.release(c, good)
 		x.count(c, false)
 		x.g.Metrics.Count("cascade.escalated")
@@ -184,34 +205,57 @@
 		return again
 	}
 	end(maybeRan, err.Error())
-	if !callerLeft && ctx.Err() == nil {
+	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Slow, true)
+	case ctx.Err() == nil:
 		x.count(c, true)
 	}
 	return lost
 }
 
-// watchSilence ends a try that stays without an answer while another one could
-// still be in time. The result ends the watch.
-func (x *exchange) watchSilence(c choice, cancel context.CancelCauseFunc) func() {
+// silenceWait returns the time after which a try without an answer is checked
+// for signs of life of its upstream, or 0 if it may take as long as it likes.
+func (x *exchange) silenceWait(c choice, model string) kcclock.Millis {
 	if !x.route.MayRepeat() || x.sends.runs()+1 >= x.route.MaxAttempts || c.candidates < 2 || x.route.ObjectiveMs <= 0 {
-		return func() {}
+		return 0
 	}
 	part := plainSilentPart
 	if x.route.Effect == kctable.Stream {
 		part = silentPart
 	}
 	wait := kcclock.Millis(part * float64(x.route.ObjectiveMs))
-	if 2*wait > x.left() {
-		wait = x.left() / 2
+	if x.ask.PromptTokens > 0 {
+		wait = max(wait, kcclock.Millis(silentPace*float64(x.g.paces.expect(model, x.ask.PromptTokens))))
+	}
+	return min(wait, x.left()/2)
+}
+
+// watchSilence ends a try whose upstream is silent on all connections, while
+// another upstream could still answer in time. An upstream that answers others
+// is busy, and the request keeps its place there. The result ends the watch.
+func (x *exchange) watchSilence(c choice, model string, cancel context.CancelCauseFunc) func() {
+	wait := x.silenceWait(c, model)
+	if wait <= 0 {
+		return func() {}
 	}
 	stop := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		select {
-		case <-x.g.Clock.After(wait):
-			cancel(errSilent)
-		case <-stop:
+		for {
+			select {
+			case <-x.g.Clock.After(wait):
+			case <-stop:
+				return
+			}
+			// Without a repeat, the silent upstream is the best hope.
+			if x.g.Upstreams.silentFor(c) >= aliveMs && x.g.takeRepeat(x.service) {
+				x.reserved = true
+				cancel(errSilent)
+				return
+			}
+			wait = aliveMs / 2
 		}
 	}()
 	return func() {
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -116,6 +116,7 @@
 	Upstreams *Upstreams
 	Orders    *Orders
 	stop      stopState
+	paces     *paces
 
 	mu      sync.Mutex
 	budgets map[string]*kcretry.Budget
@@ -127,6 +128,7 @@
 		Options:   opts,
 		Upstreams: NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions),
 		Orders:    NewOrders(opts),
+		paces:     newPaces(),
 		budgets:   make(map[string]*kcretry.Budget),
 	}
 }
@@ -151,7 +153,7 @@
 const (
 	// repeatPart is the part of the permitted repeats that one instance takes:
 	// the rest covers windows that begin between a request and its repeat.
-	repeatPart = 0.8
+	repeatPart = 0.95
 	// repeatBurst is the number of repeats that one instance can save up. The
 	// slack of the smallest deployment is 58 for 12 instances.
 	repeatBurst = 3
--- /dev/null
+++ b/internal/kcgate/gate_test.go
@@ -0,0 +1,210 @@
+package kcgate_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+)
+
+func formatInt(n, base int) string { return strconv.FormatInt(int64(n), base) }
+
+// Guards against a request that is taken late in a stop and cut at its end.
+func TestStopRefusesLateRequests(t *testing.T) {
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "ok") })
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, e)
+	f.gate.Leave()
+	if _, ready := f.gate.Ready(); ready {
+		t.Error("ready after Leave")
+	}
+	resp, _, err := f.ask(t, "POST", "/a/x", "b")
+	if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("after Leave: %v, %v: want 200 that closes the connection", resp, err)
+	}
+	f.gate.Close()
+	resp, _, err = f.ask(t, "POST", "/a/x", "b")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("after Close: %v, %v: want 503 with Retry-After", resp, err)
+	}
+	if n := len(e.requests()); n != 1 {
+		t.Errorf("the upstream got %d requests, want 1", n)
+	}
+}
+
+// Guards against a second run of a request that may run once, and against a
+// 503 for one that may have run.
+func TestOnceIsNotRepeated(t *testing.T) {
+	cut := func(_ int, _ *http.Request, _ string, _ net.Conn) bool { return false }
+	a, b := newEngine(t, cut), newEngine(t, cut)
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, a, b)
+	resp, _, err := f.ask(t, "POST", "/a/x", "b")
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Fatalf("%v, %v: want 502", resp, err)
+	}
+	if n := len(a.requests()) + len(b.requests()); n != 1 {
+		t.Errorf("%d sends, want 1", n)
+	}
+}
+
+// Guards against a request that is refused although another upstream has room,
+// and against a refusal that does not say that the request did not run.
+func TestNotRunIsSentElsewhere(t *testing.T) {
+	full := func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		return reply(w, req, "503 Service Unavailable", "Not-Run: 1\r\n", "")
+	}
+	a, b := newEngine(t, full), newEngine(t, full)
+	ok := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "ok") })
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, a, b, ok)
+	resp, body, err := f.ask(t, "POST", "/a/x", "b")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Fatalf("%v %q %v: want 200 ok", resp, body, err)
+	}
+	f = newFixture(t, []kctable.Route{route("a", kctable.Once)}, a, b)
+	resp, _, err = f.ask(t, "POST", "/a/x", "b")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("%v %v: want 503 with Retry-After", resp, err)
+	}
+}
+
+// Guards against an answer to another request that reaches the caller.
+func TestAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		other := req.Clone(context.Background())
+		other.Header.Set("Request-Id", "q0")
+		return reply(w, other, "200 OK", "", "wrong") && reply(w, req, "200 OK", "", "right")
+	})
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, e)
+	resp, body, err := f.ask(t, "POST", "/a/x", "b")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "right" {
+		t.Errorf("%v %q %v: want the answer with the id", resp, body, err)
+	}
+}
+
+// Guards against a stream that breaks off and looks complete, and against
+// events that are lost or repeated when it goes on elsewhere.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	serve := func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		if req.Header.Get("Last-Event-Id") == "" {
+			stream(w, req, "", event(1), event(2), "id: 3\nda")
+			return false
+		}
+		return stream(w, req, "", event(3), event(4)) && write(w, lastChunk)
+	}
+	f := newFixture(t, []kctable.Route{route("a", kctable.Stream)}, newEngine(t, serve), newEngine(t, serve))
+	resp, body, err := f.ask(t, "POST", "/a/x", "b")
+	if want := event(1) + event(2) + event(3) + event(4); err != nil || resp.StatusCode != 200 || body != want {
+		t.Errorf("%v %q %v: want %q", resp, body, err, want)
+	}
+	once := route("a", kctable.Stream)
+	once.Resumable = false
+	f = newFixture(t, []kctable.Route{once}, newEngine(t, serve), newEngine(t, serve))
+	if _, body, err = f.ask(t, "POST", "/a/x", "b"); err == nil || body != event(1)+event(2) {
+		t.Errorf("%q %v: want two events and a broken connection", body, err)
+	}
+}
+
+func write(w net.Conn, s string) bool {
+	_, err := w.Write([]byte(s))
+	return err == nil
+}
+
+// Guards against headers that callers forge, and against a key that reaches an
+// upstream.
+func TestReservedHeadersAreOurs(t *testing.T) {
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "ok") })
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, e)
+	_, _, err := f.ask(t, "POST", "/a/x?y=1", "b", "Hold", "h", "Kv-From", "k", "Pin-Ms", "9", "Tenant", "evil",
+		"Connection", "Other", "Other", "v", "Expect-Instance", "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := e.requests()[0]
+	for _, name := range []string{"Hold", "Kv-From", "Pin-Ms", "Api-Key", "Other"} {
+		if v := got.Header.Get(name); v != "" {
+			t.Errorf("%s is passed on as %q", name, v)
+		}
+	}
+	if got.Header.Get("Tenant") != "acme" || got.Header.Get("Expect-Instance") != "e0" || got.RequestURI != "/a/x?y=1" {
+		t.Errorf("the upstream got %s %v", got.RequestURI, got.Header)
+	}
+	if ms, _ := strconv.Atoi(got.Header.Get("Deadline-Ms")); ms < 1 || ms > 9000 {
+		t.Errorf("Deadline-Ms is %d, the caller waits 9000", ms)
+	}
+}
+
+// Guards against a key that is accepted although its removal may not be known,
+// and against an error for a proper request while nothing is known.
+func TestStaleKeysAreRefused(t *testing.T) {
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "ok") })
+	open := route("open", kctable.Once)
+	open.Public = true
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once), open}, e)
+	f.setAge(4900)
+	for path, want := range map[string]int{"/a/x": 503, "/open/x": 200, "/none/": 404} {
+		if resp, _, err := f.ask(t, "POST", path, "b"); err != nil || resp.StatusCode != want {
+			t.Errorf("%s with stale keys: %v %v, want %d", path, resp, err, want)
+		}
+	}
+	if _, ready := f.gate.Ready(); ready {
+		t.Error("ready with stale keys")
+	}
+	f.setAge(100)
+	if resp, _, err := f.ask(t, "POST", "/a/x", "b", "Api-Key", "other"); err != nil || resp.StatusCode != 401 {
+		t.Errorf("unknown key: %v %v, want 401", resp, err)
+	}
+}
+
+// Guards against a runner that works on after its caller has left.
+func TestCallerWhoLeavesEndsTheRun(t *testing.T) {
+	started := make(chan struct{})
+	e := newEngine(t, func(_ int, _ *http.Request, _ string, w net.Conn) bool {
+		close(started)
+		_, _ = w.Read(make([]byte, 1)) // until the gate closes the connection
+		return false
+	})
+	f := newFixture(t, []kctable.Route{route("a", kctable.Repeatable)}, e)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(c, "GET /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q1\r\nApi-Key: key\r\n\r\n")
+	<-started
+	_ = c.Close()
+	<-e.closed
+}
+
+// Guards against a weak answer of a small model that is passed on while a
+// larger one could answer.
+func TestWeakAnswerIsAskedOfTheLargestModel(t *testing.T) {
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		if req.Header.Get("Model") == "small" {
+			stream(w, req, "Confidence: 20\r\n", event(1))
+			_, _ = w.Read(make([]byte, 1))
+			return false
+		}
+		return stream(w, req, "Confidence: 90\r\n", "id: 1\ndata: large\n\n") && write(w, lastChunk)
+	})
+	r := route("a", kctable.Stream)
+	r.Models = []string{"small", "middle", "large"}
+	f := newFixture(t, []kctable.Route{r}, e)
+	resp, body, err := f.ask(t, "POST", "/a/x", "b", "Model", "*")
+	if err != nil || resp.StatusCode != 200 || body != "id: 1\ndata: large\n\n" {
+		t.Errorf("%v %q %v: want the answer of the largest model", resp, body, err)
+	}
+	if n := len(e.requests()); n != 2 {
+		t.Errorf("%d sends, want 2", n)
+	}
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestTablesOnlyGoForward(t *testing.T) {
+	f := newFixture(t, nil)
+	if f.gate.SetTable(&kctable.Table{Version: 1}) || !f.gate.SetTable(&kctable.Table{Version: 5}) ||
+		f.gate.SetTable(&kctable.Table{Version: 4}) {
+		t.Error("want version 5 in force and no other")
+	}
+}
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -161,6 +161,7 @@
 			}
 			return err
 		}
+		x.g.Upstreams.alive(c)
 		x.startStream(resp, c)
 		_ = x.rc.SetWriteDeadline(time.Now().Add(writeMs.Duration()))
 		if _, err := x.w.Write(ev.raw); err == nil {
@@ -217,7 +218,7 @@
 // its end.
 func (x *exchange) resumeAt(ctx context.Context, c choice, model string, last *int64) bool {
 	now := x.g.Clock.Now()
-	s := send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now, execution: maybeRan}
+	s := send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now, execution: maybeRan, confidence: -1}
 	defer func() {
 		s.tookMs = x.g.Clock.Now() - now
 		x.sends = append(x.sends, s)
--- a/internal/kcgate/report.go
+++ b/internal/kcgate/report.go
@@ -27,6 +27,9 @@
 	if x.reason != "" {
 		attrs = append(attrs, slog.String("reason", x.reason))
 	}
+	if x.ask.PromptTokens > 0 {
+		attrs = append(attrs, slog.Int("promptTokens", x.ask.PromptTokens), slog.Int("outputTokens", x.ask.OutputTokens))
+	}
 	if len(x.sends) > 0 {
 		attrs = append(attrs, slog.String("sends", x.sends.String()))
 	}
--- a/internal/kcgate/sends.go
+++ b/internal/kcgate/sends.go
@@ -30,6 +30,8 @@
 	tookMs    kcclock.Millis
 	execution execution
 	detail    string
+	// confidence is the model's opinion of its answer, -1 if it did not say.
+	confidence int
 }
 
 // sendRecord holds all tries of a request. It is the only source of the status
@@ -58,6 +60,9 @@
 			b.WriteByte(';')
 		}
 		fmt.Fprintf(&b, "%s,%s,%s,load=%d,%s,%dms", x.upstream, x.version, x.model, x.load, x.execution, x.tookMs)
+		if x.confidence >= 0 {
+			fmt.Fprintf(&b, ",confidence=%d", x.confidence)
+		}
 		if x.detail != "" {
 			b.WriteString("," + strings.ReplaceAll(x.detail, ";", ","))
 		}
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -73,6 +73,8 @@
 	// configAge is the age of the configuration at admission.
 	configAge kcclock.Millis
 	sends     sendRecord
+	// reserved is true if a repeat was taken from the budget and not used.
+	reserved bool
 	// started is true once the head of the answer was written.
 	started bool
 	status  int
--- /dev/null
+++ b/internal/kcgate/silence_test.go
@@ -0,0 +1,41 @@
+package kcgate_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+)
+
+// Guards against a request that waits for a dead upstream until its deadline,
+// and against one whose try is given up without a second one.
+func TestSilentUpstreamIsLeft(t *testing.T) {
+	var n atomic.Int32
+	arrived := make(chan struct{})
+	serve := func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		if n.Add(1) == 1 {
+			close(arrived)
+			_, _ = w.Read(make([]byte, 1)) // until the gate closes the connection
+			return false
+		}
+		return stream(w, req, "", event(1)) && write(w, lastChunk)
+	}
+	f := newFixture(t, []kctable.Route{route("a", kctable.Stream)}, newEngine(t, serve), newEngine(t, serve))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-arrived
+		f.clock.AwaitWaiters(1)
+		f.clock.Advance(2000) // half of the objective
+	}()
+	resp, body, err := f.ask(t, "POST", "/a/x", "b")
+	<-done
+	if err != nil || resp.StatusCode != 200 || body != event(1) {
+		t.Errorf("%v %q %v: want the answer of the other upstream", resp, body, err)
+	}
+	if n.Load() != 2 {
+		t.Errorf("%d sends, want 2", n.Load())
+	}
+}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcroute"
@@ -41,6 +42,9 @@
 	load     Load
 	reportAt kcclock.Millis
 	base     int
+	// aliveAt is when the upstream last sent anything, or when the oldest
+	// running request was sent if that is later.
+	aliveAt atomic.Int64
 	// goneAt is set for entries that lapsed while the store was away.
 	goneAt kcclock.Millis
 }
@@ -230,10 +234,21 @@
 	}
 	u := list[i]
 	u.breaker.Allow(now, 0)
+	if u.inFlight == 0 {
+		u.aliveAt.Store(int64(now))
+	}
 	u.inFlight++
 	return choice{u: u, Upstream: u.Upstream, load: runners[i].Load, candidates: len(list)}, true
 }
 
+// alive notes that the upstream sent something.
+func (l *Upstreams) alive(c choice) { c.u.aliveAt.Store(int64(l.clock.Now())) }
+
+// silentFor returns the time since the upstream last sent anything.
+func (l *Upstreams) silentFor(c choice) kcclock.Millis {
+	return l.clock.Now() - kcclock.Millis(c.u.aliveAt.Load())
+}
+
 // outcome is how a send ended for the upstream.
 type outcome int
 
@@ -270,4 +285,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.u.load, c.u.base, c.u.reportAt = load, c.u.inFlight, now
+	c.u.aliveAt.Store(int64(now))
 }
--- /dev/null
+++ b/internal/kcgate/upstreams_test.go
@@ -0,0 +1,84 @@
+package kcgate
+
+import (
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+func anyVersion(string) bool { return true }
+
+func list(n int, zone string) []kctable.Upstream {
+	var out []kctable.Upstream
+	for i := range n {
+		out = append(out, kctable.Upstream{
+			ID: zone + itoa(i), Service: "s", Address: zone + itoa(i), Zone: zone, Version: "v1", Slots: 8, Born: int64(i),
+		})
+	}
+	return out
+}
+
+// Guards against a busy upstream that is taken for a silent one: it answers
+// others while a request waits there.
+func TestBusyUpstreamIsAlive(t *testing.T) {
+	clock := kcclock.NewManual(1000)
+	l := NewUpstreams(clock, "z", nil)
+	l.Replace(list(1, "z"), false)
+	a, _ := l.take(want{service: "s", version: anyVersion})
+	clock.Advance(700)
+	b, _ := l.take(want{service: "s", version: anyVersion})
+	if got := l.silentFor(b); got != 700 {
+		t.Errorf("silent for %d ms, want 700: the first request waits since then", got)
+	}
+	l.alive(a)
+	clock.Advance(100)
+	if got := l.silentFor(b); got != 100 {
+		t.Errorf("silent for %d ms, want 100", got)
+	}
+}
+
+// Guards against live upstreams that are dropped because their entries lapsed
+// while the store was away, and against dead ones that are kept for ever.
+func TestLapsedEntriesGetTimeToComeBack(t *testing.T) {
+	clock := kcclock.NewManual(1000)
+	l := NewUpstreams(clock, "z", nil)
+	l.Replace(list(2, "z"), false)
+	l.Replace(nil, true)
+	l.Set(list(2, "z")[0])
+	clock.Advance(lapsedMs + 1)
+	l.Expire()
+	if !l.Addresses().Has("z0") || l.Addresses().Has("z1") {
+		t.Errorf("%v is left, want z0 alone", l.Addresses())
+	}
+	l.Replace(nil, false)
+	if len(l.Addresses()) != 0 {
+		t.Error("an entry that went while the store was there is kept")
+	}
+}
+
+// Guards against a new request for an upstream that is leaving, and against an
+// id that comes back as another upstream and inherits the old state.
+func TestLeavingAndRebornUpstreams(t *testing.T) {
+	clock := kcclock.NewManual(1000)
+	l := NewUpstreams(clock, "z", nil)
+	u := list(1, "z")[0]
+	l.Replace([]kctable.Upstream{u}, false)
+	for range 3 {
+		c, _ := l.take(want{service: "s", version: anyVersion})
+		l.release(c, failed)
+	}
+	if _, ok := l.take(want{service: "s", version: anyVersion}); ok {
+		t.Error("an upstream that failed three times in a row got a request")
+	}
+	u.Born++
+	l.Set(u)
+	if _, ok := l.take(want{service: "s", version: anyVersion}); !ok {
+		t.Error("the new upstream got no request")
+	}
+	u.Leaving = true
+	l.Set(u)
+	if _, ok := l.take(want{service: "s", version: anyVersion}); ok {
+		t.Error("a leaving upstream got a request")
+	}
+}
