kcgate, kcrollout, kcretry: Bound what a bad version gets, and count repeats in a window

A version that is bad under load only never showed it before it had all requests. The retry budget refused escalations to the largest model in bursts although the window of the operator had room. Change: the target keeps half of the permitted exposure on as many upstreams as carry its usual load, and gets all requests at the very end; the judge publishes the step. Slow answers are found against the quantiles of the versions that are trusted. Repeats are counted in the operator's window.

--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -11,7 +11,7 @@
 func itoa(n int) string { return strconv.Itoa(n) }
 
 // applyOperator takes configurations and orders.
-func (e *Edge) applyOperator(records []kcfeed.Record, _, _ bool) {
+func (e *Edge) applyOperator(records []kcfeed.Record, whole, _ bool) {
 	for _, r := range records {
 		switch {
 		case len(r.Value) == 0:
@@ -23,7 +23,7 @@
 				e.Log.Error("order ignored", "key", r.Key, "offset", r.Offset, "error", err)
 				continue
 			}
-			if e.gate.Orders.SetOrder(order) {
+			if e.gate.Orders.SetOrder(order, !whole) {
 				e.Log.Info("order", "service", order.Service, "target", order.Target, "spanMs", order.SpanMs, "offset", r.Offset)
 			}
 		}
@@ -86,7 +86,7 @@
 			continue
 		}
 		if e.gate.Orders.SetProgress(p) {
-			e.Log.Info("state of an order", "service", p.Service, "target", p.Target, "stage", p.Stage, "offset", r.Offset)
+			e.Log.Info("state of an order", "service", p.Service, "target", p.Target, "stage", p.Stage, "step", p.Step, "offset", r.Offset)
 		}
 	}
 }
--- a/internal/kcedge/orders.go
+++ b/internal/kcedge/orders.go
@@ -25,7 +25,7 @@
 	// joinMs is the time between calls that keep the judge.
 	joinMs = 1000 * kcclock.Millisecond
 	// readMs is the time between reads of evidence by the judge.
-	readMs = 700 * kcclock.Millisecond
+	readMs = 500 * kcclock.Millisecond
 	// startSpreadMs spreads the first publication of an order over the
 	// instances, so that most of them see that of another.
 	startSpreadMs = 600
@@ -105,7 +105,8 @@
 	}
 	k.startAt[o.Offset] = now + kcclock.Second
 	k.write(ctx, kctable.Progress{
-		Service: o.Service, Target: o.Target, Stage: kctable.Running, StartedAt: kcclock.System{}.Now(), Order: o.Offset,
+		Service: o.Service, Target: o.Target, Stage: kctable.Running, Order: o.Offset,
+		StartedAt: kcclock.System{}.Now() - o.ElapsedMs,
 	}, "evidence", "none")
 }
 
@@ -122,7 +123,7 @@
 		return k.e.store.AppendKey(ctx, kcplatform.TopicProgress, kcplatform.OrderKey(p.Service), raw, at)
 	})
 	k.e.Log.Info("order decided", append([]any{
-		"service", p.Service, "target", p.Target, "stage", p.Stage, "order", p.Order, "at", at, "written", ok,
+		"service", p.Service, "target", p.Target, "stage", p.Stage, "step", p.Step, "order", p.Order, "at", at, "written", ok,
 	}, cause...)...)
 	return ok
 }
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -30,7 +30,7 @@
 	plainSilentPart = 2.0
 	// silentPace is the number of usual times to the first event after which
 	// a try is checked.
-	silentPace = 2.5
+	silentPace = 6
 	// aliveMs is how long an upstream may be silent on all connections. Engines
 	// send an event to each stream every 20 to 100 ms.
 	aliveMs = 600 * kcclock.Millisecond
@@ -124,6 +124,7 @@
 	return x.g.Upstreams.take(want{
 		service: x.service, version: x.g.Orders.allow(x.service, key, available, first),
 		tried: tried, affinity: x.affinity(),
+		part: func(version string) float64 { return x.g.Orders.part(x.service, version) },
 	})
 }
 
@@ -140,6 +141,7 @@
 func (x *exchange) try(ctx context.Context, c choice, model string) verdict {
 	now := x.g.Clock.Now()
 	x.sends = append(x.sends, send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now, confidence: -1})
+	x.slow, x.timed = false, false
 	last := len(x.sends) - 1
 	end := func(e execution, detail string) {
 		s := &x.sends[last]
@@ -158,7 +160,11 @@
 		x.g.Upstreams.report(c, head.Load)
 	}
 	if x.ask.PromptTokens > 0 && !head.NotRun && resp.StatusCode == http.StatusOK {
-		x.g.paces.learn(model, x.ask.PromptTokens, x.g.Clock.Now()-now)
+		took := x.g.Clock.Now() - now
+		if n := x.ask.PromptTokens; n >= longPrompt {
+			x.judge(c, "read/"+model, max(float64(took-firstMs), 0)/float64(n), engineSlow)
+		}
+		x.g.paces.learn(model, x.ask.PromptTokens, took)
 	}
 	if head.HasConfidence {
 		x.sends[last].confidence = head.Confidence
@@ -282,6 +288,18 @@
 // count adds the outcome of a try to the evidence of an order.
 func (x *exchange) count(c choice, bad bool) {
 	x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Failure, bad)
+	if !bad && x.timed {
+		x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Slow, x.slow)
+	}
+}
+
+// judge compares a time of the present try with the usual ones.
+func (x *exchange) judge(c choice, key string, v, factor float64) {
+	slow, known := x.g.times.slow(key, v, factor)
+	x.slow, x.timed = x.slow || slow, x.timed || known
+	if !x.g.Orders.onTrial(x.service, c.Version) {
+		x.g.times.learn(key, v)
+	}
 }
 
 // isFailure reports whether a status tells of an error of the upstream.
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -117,9 +117,10 @@
 	Orders    *Orders
 	stop      stopState
 	paces     *paces
+	times     *usual
 
 	mu      sync.Mutex
-	budgets map[string]*kcretry.Budget
+	budgets map[string]*kcretry.Window
 }
 
 // New returns a gate that knows no configuration.
@@ -129,7 +130,8 @@
 		Upstreams: NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions),
 		Orders:    NewOrders(opts),
 		paces:     newPaces(),
-		budgets:   make(map[string]*kcretry.Budget),
+		times:     newUsual(),
+		budgets:   make(map[string]*kcretry.Window),
 	}
 }
 
@@ -151,19 +153,24 @@
 func (g *Gate) Table() *kctable.Table { return g.table.Load() }
 
 const (
-	// repeatPart is the part of the permitted repeats that one instance takes:
-	// the rest covers windows that begin between a request and its repeat.
+	// repeatPart is the part of the permitted repeats that is used: the rest
+	// covers windows that begin between a request and its repeat.
 	repeatPart = 0.95
-	// repeatBurst is the number of repeats that one instance can save up. The
-	// slack of the smallest deployment is 58 for 12 instances.
-	repeatBurst = 3
+	// repeatSlack is the number of repeats that one instance takes beyond it.
+	// The slack of the smallest deployment is 58 for 12 instances.
+	repeatSlack = 3
+	// defaultRetryWindowMs is used where the operator states no window.
+	defaultRetryWindowMs = 10 * kcclock.Second
 )
 
-func (g *Gate) budget(service string) *kcretry.Budget {
+func (g *Gate) budget(service string) *kcretry.Window {
 	b := g.budgets[service]
 	if b == nil {
-		n := kcretry.NewBudget(repeatPart*g.Deployment.Bounds.RetryRatio, repeatBurst)
-		b = &n
+		bounds := g.Deployment.Bounds
+		b = &kcretry.Window{Share: repeatPart * bounds.RetryRatio, Slack: repeatSlack, SpanMs: bounds.RetryWindowMs}
+		if b.SpanMs <= 0 {
+			b.SpanMs = defaultRetryWindowMs
+		}
 		g.budgets[service] = b
 	}
 	return b
@@ -173,14 +180,14 @@
 func (g *Gate) countFirst(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(service).Try()
+	g.budget(service).Try(g.Clock.Now())
 }
 
 // takeRepeat takes one more send of a request from the retry budget.
 func (g *Gate) takeRepeat(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(service).Retry()
+	return g.budget(service).Retry(g.Clock.Now())
 }
 
 // freshMargin covers the time between the admission of a request and its start
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -27,9 +27,14 @@
 	order    kctable.Order
 	progress kctable.Progress
 	// known is true once progress belongs to the order.
-	known    bool
-	evidence *kcrollout.Evidence
-	detector *kcrollout.Detector
+	known bool
+	// startedAt is the start of the order on the clock of this instance, which
+	// a step of the time of day does not move. live is true if the order was
+	// seen as it was written.
+	startedAt kcclock.Millis
+	live      bool
+	evidence  *kcrollout.Evidence
+	detector  *kcrollout.Detector
 	// suspect is set once the evidence speaks against the target.
 	suspect bool
 	// changed counts the events since evidence was last published, bad those
@@ -56,8 +61,9 @@
 	}
 }
 
-// SetOrder takes an order of the operator and reports whether it is new.
-func (o *Orders) SetOrder(order kctable.Order) bool {
+// SetOrder takes an order of the operator and reports whether it is new. live
+// is true if it was written just now.
+func (o *Orders) SetOrder(order kctable.Order, live bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.services[order.Service]
@@ -65,8 +71,9 @@
 		return false
 	}
 	next := &serviceOrder{
-		order: order, evidence: kcrollout.NewEvidence(), detector: kcrollout.NewDetector(o.opts.Wall.Now()),
+		order: order, evidence: kcrollout.NewEvidence(), detector: kcrollout.NewOrderDetector(o.opts.Clock.Now(), order),
 	}
+	next.startedAt, next.live = o.opts.Clock.Now(), live
 	if s != nil {
 		next.progress = s.progress
 		next.known = s.progress.Order == order.Offset && s.progress.Target == order.Target
@@ -91,16 +98,41 @@
 	return changed
 }
 
+// elapsed returns the time since the start of an order. An instance that began
+// later goes by the time of day.
+func (o *Orders) elapsed(s *serviceOrder) kcclock.Millis {
+	if s.live || !s.known {
+		return o.opts.Clock.Now() - s.startedAt
+	}
+	return max(o.opts.Wall.Now()-s.progress.StartedAt, 0)
+}
+
 // view returns what the stage of an order depends on.
 func (o *Orders) view(s *serviceOrder) kcrollout.OrderView {
 	age, known := o.opts.ProgressAge(o.opts.Clock.Now())
 	return kcrollout.OrderView{
-		Order: s.order, Progress: s.progress, Known: s.known, Now: o.opts.Wall.Now(),
+		Order: s.order, Progress: s.progress, Known: s.known, Elapsed: o.elapsed(s),
 		InTouch: known && age < touchMs, Suspect: s.suspect,
 		ExposureShare: o.opts.Deployment.Bounds.ExposureShare,
 	}
 }
 
+// part returns the part of the upstreams of a version that get requests. The
+// target of an order gets as many as its share of the requests, so that each
+// has the load that it will have later: some versions are bad under load only.
+func (o *Orders) part(service, version string) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.services[service]
+	if s == nil || s.order.Offset < 0 || s.order.Target != version {
+		return 1
+	}
+	if d := kcrollout.Decide(o.view(s)); !d.Only && d.Share < 1 {
+		return d.Share
+	}
+	return 1
+}
+
 // allow returns which versions of a service may run a request of a session.
 // available are the versions that have upstreams, first the one that was there
 // first.
@@ -202,6 +234,15 @@
 	o.fold(s)
 }
 
+// onTrial reports whether a version is the target of an order that runs.
+func (o *Orders) onTrial(service, version string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.services[service]
+	return s != nil && s.order.Offset >= 0 && s.order.Target == version &&
+		!(s.known && s.progress.Stage == kctable.Complete)
+}
+
 // Names of the two sides of an order in the evidence.
 const (
 	targetArm = "target"
@@ -210,7 +251,7 @@
 
 // fold runs the test over all the evidence.
 func (o *Orders) fold(s *serviceOrder) {
-	s.detector.Fold(o.opts.Wall.Now(), s.evidence.Pooled(targetArm), s.evidence.Pooled(otherArm))
+	s.detector.Fold(o.opts.Clock.Now(), s.evidence.Pooled(targetArm), s.evidence.Pooled(otherArm))
 	if _, bad := s.detector.Verdict(); bad && !s.suspect {
 		s.suspect = true
 		o.opts.Log.Warn("version suspected", "service", s.order.Service, "version", s.order.Target,
@@ -235,6 +276,8 @@
 // OpenOrder is an order without a final state.
 type OpenOrder struct {
 	kctable.Order
+	// ElapsedMs is the time since its start.
+	ElapsedMs kcclock.Millis
 	// Known is true if its start is published.
 	Known    bool
 	Progress kctable.Progress
@@ -251,7 +294,9 @@
 		if s.evidence == nil || s.order.Offset < 0 || (s.known && s.progress.Stage != kctable.Running) {
 			continue
 		}
-		out = append(out, OpenOrder{Order: s.order, Known: s.known, Progress: s.progress, Changed: s.changed, Bad: s.bad})
+		out = append(out, OpenOrder{
+			Order: s.order, ElapsedMs: o.elapsed(s), Known: s.known, Progress: s.progress, Changed: s.changed, Bad: s.bad,
+		})
 	}
 	return out
 }
@@ -286,7 +331,7 @@
 	o.fold(s)
 }
 
-// Conclude returns the final state of an order that runs, if it is time, with
+// Conclude returns the next state of an order that runs, if it is time, with
 // the evidence that it rests on.
 func (o *Orders) Conclude(service string) (p kctable.Progress, seen kcrollout.Tally, ok bool) {
 	o.mu.Lock()
@@ -295,8 +340,6 @@
 	if s == nil || !s.known || s.progress.Stage != kctable.Running {
 		return kctable.Progress{}, seen, false
 	}
-	stage, ok := kcrollout.Conclude(o.view(s), s.detector)
-	p = s.progress
-	p.Stage = stage
+	p, ok = kcrollout.Conclude(o.view(s), s.detector)
 	return p, s.detector.Seen(), ok
 }
--- a/internal/kcgate/pace.go
+++ b/internal/kcgate/pace.go
@@ -1,15 +1,17 @@
 package kcgate
 
 import (
+	"math"
 	"sync"
 
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
 const (
-	// pacePart is the weight of an answer in the usual pace: some twenty
-	// answers replace what was learned before.
-	pacePart = 0.05
+	// quantileStep bounds the factor by which a value moves a quantile.
+	// Quantiles are used because the times have long tails: a mean would follow
+	// the few requests that wait behind long prompts.
+	quantileStep = 1.08
 	// startPace is assumed before the first answer, in ms per prompt token: an
 	// engine that reads 30 tokens in a millisecond.
 	startPace = 0.03
@@ -18,33 +20,115 @@
 	basePromptTokens = 1500
 )
 
+// quantile follows a quantile of positive values. It starts at the first one.
+type quantile struct {
+	value float64
+	seen  int
+}
+
+// learn moves the quantile by a value. part is the part of the values below it.
+func (q *quantile) learn(part, v float64) {
+	q.seen++
+	switch {
+	case q.seen == 1:
+		q.value = v
+	case v > q.value:
+		q.value *= math.Pow(quantileStep, part)
+	default:
+		q.value /= math.Pow(quantileStep, 1-part)
+	}
+}
+
+const half = 0.5
+
 // paces learns how long a model takes to its first event, queueing included.
 type paces struct {
 	mu sync.Mutex
 	// perToken holds milliseconds per prompt token.
-	perToken map[string]float64
+	perToken map[string]*quantile
 }
 
-func newPaces() *paces { return &paces{perToken: make(map[string]float64)} }
+func newPaces() *paces { return &paces{perToken: make(map[string]*quantile)} }
 
 // expect returns the usual time to the first event.
 func (p *paces) expect(model string, promptTokens int) kcclock.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pace, ok := p.perToken[model]
-	if !ok {
-		pace = startPace
+	pace := startPace
+	if m := p.perToken[model]; m != nil {
+		pace = m.value
 	}
 	return kcclock.Millis(pace * float64(promptTokens+basePromptTokens))
 }
 
 // learn takes the time to the first event of an answer.
 func (p *paces) learn(model string, promptTokens int, took kcclock.Millis) {
-	pace := float64(took) / float64(promptTokens+basePromptTokens)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old, ok := p.perToken[model]; ok {
-		pace = old + pacePart*(pace-old)
+	m := p.perToken[model]
+	if m == nil {
+		m = new(quantile)
+		p.perToken[model] = m
+	}
+	m.learn(half, max(float64(took), 1)/float64(promptTokens+basePromptTokens))
+}
+
+const (
+	// slowPart is the part of the good answers that are below the threshold
+	// for slow ones.
+	slowPart = 0.8
+	// engineSlow and plainSlow are the least factors from the median to the
+	// threshold. An engine of a slow version slows down all that run on it, and
+	// some two or three times; a plain service only some, and much more.
+	engineSlow = 1.7
+	plainSlow  = 3
+	// minUsual is the number of answers from which a threshold is known.
+	minUsual = 12
+	// minEvents is the number of events from which a mean pause is taken.
+	minEvents = 3
+	// longPrompt is the number of tokens from which the time to the first
+	// event shows how fast an engine reads.
+	longPrompt = 2500
+	// firstMs is about the time to the first event of a short prompt.
+	firstMs = 60
+)
+
+// usual learns the distribution of a figure per key.
+type usual struct {
+	mu   sync.Mutex
+	keys map[string]*spread
+}
+
+// spread holds the quantiles of one figure.
+type spread struct{ median, high quantile }
+
+func newUsual() *usual { return &usual{keys: make(map[string]*spread)} }
+
+// learn takes a value of a version that is trusted.
+func (u *usual) learn(key string, v float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.keys[key]
+	if s == nil {
+		s = new(spread)
+		u.keys[key] = s
+	}
+	v = max(v, minValue)
+	s.median.learn(half, v)
+	s.high.learn(slowPart, v)
+}
+
+// minValue keeps the values positive.
+const minValue = 1e-6
+
+// slow reports whether v is far above the usual values, and false if these are
+// not known.
+func (u *usual) slow(key string, v, factor float64) (slow, known bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.keys[key]
+	if s == nil || s.median.seen < minUsual {
+		return false, false
 	}
-	p.perToken[model] = pace
+	return v > max(s.high.value, factor*s.median.value), true
 }
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -38,6 +38,8 @@
 			return again
 		}
 	} else {
+		took := x.g.Clock.Now() - x.sends[len(x.sends)-1].at
+		x.judge(c, "answer/"+x.route.Name, float64(took), plainSlow)
 		x.g.Upstreams.release(c, good)
 		x.count(c, false)
 		x.g.Orders.note(x.ask.Session, c.Version)
@@ -115,7 +117,7 @@
 	broken := x.relay(ctx, c, resp, &last)
 	switch {
 	case broken == nil:
-		end(ran, "complete")
+		end(ran, "events="+itoa(x.events))
 		x.g.Upstreams.release(c, good)
 		x.count(c, false)
 		return answered
@@ -140,6 +142,8 @@
 func (x *exchange) relay(ctx context.Context, c choice, resp *kcconn.Response, last *int64) error {
 	rd := newEventReader(resp.Body)
 	gap := x.gapMs()
+	began := kcclock.Millis(0)
+	x.events = 0
 	for {
 		if err := resp.SetReadTimeout(gap); err != nil && ctx.Err() == nil {
 			resp.Abort()
@@ -149,6 +153,10 @@
 		if errors.Is(err, io.EOF) {
 			resp.Finish()
 			x.startStream(resp, c)
+			if x.events >= minEvents {
+				pause := float64(x.g.Clock.Now()-began) / float64(x.events)
+				x.judge(c, "pause/"+x.sends[len(x.sends)-1].model, pause, engineSlow)
+			}
 			return nil
 		}
 		if err == nil {
@@ -163,6 +171,9 @@
 		}
 		x.g.Upstreams.alive(c)
 		x.startStream(resp, c)
+		if x.events++; x.events == 1 {
+			began = x.g.Clock.Now()
+		}
 		_ = x.rc.SetWriteDeadline(time.Now().Add(writeMs.Duration()))
 		if _, err := x.w.Write(ev.raw); err == nil {
 			err = x.rc.Flush()
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -75,6 +75,11 @@
 	sends     sendRecord
 	// reserved is true if a repeat was taken from the budget and not used.
 	reserved bool
+	// events is the number of events of the last try.
+	events int
+	// slow is true if the last try took much longer than usual, and timed if
+	// that could be told.
+	slow, timed bool
 	// started is true once the head of the answer was written.
 	started bool
 	status  int
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -1,10 +1,11 @@
 package kcgate
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -186,6 +187,8 @@
 	service string
 	// version reports whether a version may run the request.
 	version func(string) bool
+	// part returns the part of the upstreams of a version that get requests.
+	part func(version string) float64
 	// tried holds the ids to leave out.
 	tried kcset.Set[string]
 	// affinity is the key of the shared part of the prompt, 0 for none.
@@ -214,9 +217,9 @@
 			list = append(list, u)
 		}
 	}
-	// The order of a map is random; equal runners are taken in a random order
-	// so that instances do not choose alike.
-	slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	list = w.narrow(list)
+	// Equal runners are taken in a random order, so that instances do not
+	// choose alike.
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, u := range list {
 		runners = append(runners, kcroute.Runner{
@@ -249,6 +252,22 @@
 	return l.clock.Now() - kcclock.Millis(c.u.aliveAt.Load())
 }
 
+// narrow leaves the upstreams of the part that gets requests, the same ones at
+// all instances.
+func (w want) narrow(list []*upstream) []*upstream {
+	if w.part == nil || len(list) == 0 {
+		return list
+	}
+	part := w.part(list[0].Version)
+	if part >= 1 {
+		return list
+	}
+	slices.SortFunc(list, func(a, b *upstream) int {
+		return cmp.Compare(kcset.RendezvousHash(a.ID, w.service), kcset.RendezvousHash(b.ID, w.service))
+	})
+	return list[:max(int(math.Ceil(part*float64(len(list)))), 1)]
+}
+
 // outcome is how a send ended for the upstream.
 type outcome int
 
--- a/internal/kcrollout/detector.go
+++ b/internal/kcrollout/detector.go
@@ -44,6 +44,8 @@
 	// still found.
 	first   Strata
 	windows float64
+	// window is the time between starting points.
+	window  kcclock.Millis
 	started kcclock.Millis
 }
 
@@ -51,8 +53,13 @@
 type mixture struct{ log float64 }
 
 // NewDetector returns a test for a roll-out that starts now.
-func NewDetector(now kcclock.Millis) *Detector {
-	d := &Detector{started: now, seen: make(Strata), first: make(Strata)}
+func NewDetector(now kcclock.Millis) *Detector { return NewDetectorEvery(now, window) }
+
+// NewDetectorEvery returns a test with a new starting point after each step. A
+// version that turns bad is found within about one step, and more starting
+// points make the test a little slower.
+func NewDetectorEvery(now, step kcclock.Millis) *Detector {
+	d := &Detector{started: now, window: step, seen: make(Strata), first: make(Strata)}
 	for s := range d.mixtures {
 		for i := range d.mixtures[s] {
 			d.mixtures[s][i].log = math.Inf(-1)
@@ -81,7 +88,7 @@
 // Fold adds the events of the new version that were not seen before. old holds
 // the events of the version that it replaces.
 func (d *Detector) Fold(now kcclock.Millis, fresh, old Strata) {
-	for d.started+kcclock.Millis(d.windows)*window <= now {
+	for d.started+kcclock.Millis(d.windows)*d.window <= now {
 		d.open()
 	}
 	for stratum, t := range fresh {
@@ -130,17 +137,24 @@
 
 // Verdict returns the signal that shows a change for the worse.
 func (d *Detector) Verdict() (Signal, bool) {
-	limit := math.Log(float64(signals) / falseStops)
+	s, doubt := d.Doubt()
+	return s, doubt >= math.Log(float64(signals)/falseStops)
+}
+
+// Doubt returns the signal that speaks most against the version, with the
+// logarithm of the evidence against it: below 0 it speaks for the version.
+func (d *Detector) Doubt() (Signal, float64) {
+	worst, doubt := Signal(0), math.Inf(-1)
 	for s := range d.mixtures {
 		sum := math.Inf(-1)
 		for i := range d.mixtures[s] {
 			sum = logAdd(sum, d.mixtures[s][i].log)
 		}
-		if sum-math.Log(float64(len(increases))) >= limit {
-			return Signal(s), true
+		if x := sum - math.Log(float64(len(increases))); x > doubt {
+			worst, doubt = Signal(s), x
 		}
 	}
-	return 0, false
+	return worst, doubt
 }
 
 // Seen returns the events that were folded.
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -1,36 +1,35 @@
 package kcrollout
 
 import (
+	"math"
+
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-// Stages of an order as parts of its time. The second half is the first time
-// at which sessions may move to the target.
 const (
-	// canaryPart is the part of the permitted exposure that the target gets in
-	// the first half, which leaves room for a version that turns bad later.
+	// canaryPart is the part of the permitted exposure that is the share of the
+	// target in the first step, and lastPart the one that the last step takes.
+	// Their sum is below 1: a version that is bad in a way that does not show
+	// is within the permitted exposure too.
 	canaryPart = 0.5
-	moveAt     = 0.52
-	quarterAt  = 0.60
-	halfAt     = 0.68
-	allAt      = 0.76
-	// finishAt is when the order is reported complete, after which the old
-	// upstreams stop at once. The answers that began before allAt have ended
-	// by then or are resumed.
-	finishAt = 0.92
-)
-
-// Shares of the requests that the target gets from the second half on.
-const (
-	quarterShare = 0.25
-	halfShare    = 0.5
+	lastPart   = 0.4
+	// finishPart is the part of the last step after which the order is reported
+	// complete. The old upstreams then stop at once; answers that still run
+	// there are resumed.
+	finishPart = 0.6
+	// detectorSteps is the number of starting points of the test in the time
+	// of an order.
+	detectorSteps = 16
+	// minEvidence is the number of answers of the target without which an
+	// order does not advance: with fewer, the detector cannot tell a version
+	// that fails a third of its answers.
+	minEvidence = 20
 )
 
-// minEvidence is the number of answers of the target without which an order
-// does not advance beyond its canary: with fewer, the detector cannot tell a
-// version that fails a third of its answers.
-const minEvidence = 20
+// maxDoubt is the evidence against a target up to which its share is raised.
+// A good version exceeds it at most once in four orders; it then only waits.
+var maxDoubt = math.Log(4)
 
 // OrderView is what the stage of an order depends on.
 type OrderView struct {
@@ -38,8 +37,8 @@
 	// Progress is the published state, if there is one.
 	Progress kctable.Progress
 	Known    bool
-	// Now is the wall time.
-	Now kcclock.Millis
+	// Elapsed is the time since the start of the order.
+	Elapsed kcclock.Millis
 	// InTouch is true while the published state is known to be the newest.
 	InTouch bool
 	// Suspect is true if the evidence of this instance speaks against the
@@ -49,6 +48,14 @@
 	ExposureShare float64
 }
 
+// part returns the part of the time of an order that has passed.
+func (v *OrderView) part() float64 { return float64(v.Elapsed) / float64(max(v.Order.SpanMs, 1)) }
+
+// NewOrderDetector returns the test for the target of an order.
+func NewOrderDetector(now kcclock.Millis, o kctable.Order) *Detector {
+	return NewDetectorEvery(now, max(o.SpanMs/detectorSteps, kcclock.Second))
+}
+
 // Decision is how requests are divided between the target and the others.
 type Decision struct {
 	// Share is the part of the sessions that the target gets.
@@ -61,61 +68,47 @@
 	Never bool
 }
 
-// Decide returns the stage of an order. The share depends on time alone, so
-// that instances agree on it without messages.
+// Decide returns how requests are divided. It follows from the published step,
+// so that instances agree without messages of their own.
 func Decide(v OrderView) Decision {
-	if v.Known && v.Progress.Order == v.Order.Offset {
-		switch v.Progress.Stage {
-		case kctable.Complete:
-			return Decision{Share: 1, Move: true, Only: true}
-		case kctable.Reverted:
-			return Decision{Never: true}
-		case kctable.Running:
-		}
-	} else {
+	if !v.Known {
 		// The start is not agreed on yet.
 		return Decision{Never: true}
 	}
-	if v.Suspect {
-		return Decision{Never: true}
-	}
-	part := Elapsed(v.Order, v.Progress, v.Now)
-	canary := Decision{Share: canaryPart * v.ExposureShare}
 	switch {
-	case part < moveAt:
-		return canary
-	case !v.InTouch:
-		// A stop that was published meanwhile would not be known.
-		return canary
-	case part < quarterAt:
-		return Decision{Share: 2 * canary.Share, Move: true}
-	case part < halfAt:
-		return Decision{Share: quarterShare, Move: true}
-	case part < allAt:
-		return Decision{Share: halfShare, Move: true}
-	default:
-		return Decision{Share: 1, Move: true}
+	case v.Progress.Stage == kctable.Complete:
+		return Decision{Share: 1, Move: true, Only: true}
+	case v.Progress.Stage == kctable.Reverted || v.Suspect:
+		return Decision{Never: true}
+	case v.Progress.Step == 0 || !v.InTouch:
+		// Out of touch, a stop that was published would not be known.
+		return Decision{Share: canaryPart * v.ExposureShare}
 	}
+	return Decision{Share: 1, Move: true}
 }
 
-// Elapsed returns the part of the time of an order that has passed.
-func Elapsed(o kctable.Order, p kctable.Progress, now kcclock.Millis) float64 {
-	return float64(now-p.StartedAt) / float64(max(o.SpanMs, 1))
-}
-
-// Conclude returns the state to publish for an order that runs, and whether
-// there is one.
-func Conclude(v OrderView, d *Detector) (kctable.Stage, bool) {
+// Conclude returns the next state to publish for an order that runs, and
+// whether there is one.
+func Conclude(v OrderView, d *Detector) (kctable.Progress, bool) {
+	next := v.Progress
 	if _, bad := d.Verdict(); bad {
-		return kctable.Reverted, true
-	}
-	part := Elapsed(v.Order, v.Progress, v.Now)
-	if part < finishAt {
-		return 0, false
+		next.Stage = kctable.Reverted
+		return next, true
 	}
-	if d.Seen()[Failure].Total < minEvidence {
-		// Nothing is known of the target; the old version stays.
-		return kctable.Reverted, true
+	_, doubt := d.Doubt()
+	sure := doubt < maxDoubt && d.Seen()[Failure].Total >= minEvidence
+	last := 1 - lastPart*v.ExposureShare
+	switch part := v.part(); {
+	case sure && v.Progress.Step > 0 && part >= last+finishPart*(1-last):
+		next.Stage = kctable.Complete
+		return next, true
+	case part >= 1 && !sure:
+		// Too little is known for the target, and the time is over.
+		next.Stage = kctable.Reverted
+		return next, true
+	case sure && v.Progress.Step == 0 && part >= last:
+		next.Step = 1
+		return next, true
 	}
-	return kctable.Complete, true
+	return next, false
 }
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -172,13 +172,18 @@
 	Reverted
 )
 
+// String returns the name of the stage.
+func (s Stage) String() string { return [...]string{"running", "complete", "reverted"}[s] }
+
 // Progress is how far an order has got.
 type Progress struct {
 	Service string
 	Target  string
 	Stage   Stage
-	// StartedAt is the wall time at which the first instance saw the order.
+	// StartedAt is the time of day at which the first instance saw the order.
 	StartedAt kcclock.Millis
 	// Order is the offset of the order.
 	Order int64
+	// Step is 0 while the target is tried out and 1 once it gets all requests.
+	Step int
 }
