--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -181,7 +181,7 @@
 		end(maybeRan, "encoded body")
 		x.g.Upstreams.release(c, neutral)
 		return lost
-	case x.shouldEscalate(c, head, model):
+	case x.shouldEscalate(head, model):
 		resp.Abort()
 		end(ran, "weak")
 		x.g.Upstreams.release(c, good)
@@ -289,7 +289,8 @@
 func (x *exchange) count(c choice, bad bool) {
 	x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Failure, bad)
 	if !bad && x.timed {
-		x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Slow, x.slow)
+		// The times are compared per model and route already.
+		x.g.Orders.count(x.service, c.Version, "", kcrollout.Slow, x.slow)
 	}
 }
 
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -253,7 +253,7 @@
 }
 
 // narrow leaves the upstreams of the part that gets requests, the same ones at
-// all instances.
+// all instances and some in each availability zone.
 func (w want) narrow(list []*upstream) []*upstream {
 	if w.part == nil || len(list) == 0 {
 		return list
@@ -265,7 +265,14 @@
 	slices.SortFunc(list, func(a, b *upstream) int {
 		return cmp.Compare(kcset.RendezvousHash(a.ID, w.service), kcset.RendezvousHash(b.ID, w.service))
 	})
-	return list[:max(int(math.Ceil(part*float64(len(list)))), 1)]
+	inZone, taken := make(map[string]int), make(map[string]int)
+	for _, u := range list {
+		inZone[u.Zone]++
+	}
+	return slices.DeleteFunc(list, func(u *upstream) bool {
+		taken[u.Zone]++
+		return float64(taken[u.Zone]) > math.Ceil(part*float64(inZone[u.Zone]))
+	})
 }
 
 // outcome is how a send ended for the upstream.
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -8,16 +8,19 @@
 )
 
 const (
-	// canaryPart is the part of the permitted exposure that is the share of the
-	// target in the first step, and lastPart the one that the last step takes.
-	// Their sum is below 1: a version that is bad in a way that does not show
-	// is within the permitted exposure too.
-	canaryPart = 0.5
-	lastPart   = 0.4
-	// finishPart is the part of the last step after which the order is reported
-	// complete. The old upstreams then stop at once; answers that still run
-	// there are resumed.
-	finishPart = 0.6
+	// usedExposure is the part of the permitted exposure that a target takes
+	// even if it is bad in a way that does not show.
+	usedExposure = 0.9
+	// allPart is the part of the time of an order in which the target gets all
+	// requests before the order is reported complete. The old upstreams then
+	// stop at once; answers that still run there are resumed.
+	allPart = 0.03
+	// publishPart is left at the end of an order to publish its state: a tick
+	// of the judge and a call of a slow store.
+	publishPart = 0.035
+	// minCanary is the least share of the first step, as a part of the
+	// permitted exposure.
+	minCanary = 0.2
 	// detectorSteps is the number of starting points of the test in the time
 	// of an order.
 	detectorSteps = 16
@@ -51,6 +54,13 @@
 // part returns the part of the time of an order that has passed.
 func (v *OrderView) part() float64 { return float64(v.Elapsed) / float64(max(v.Order.SpanMs, 1)) }
 
+// canary returns the share of the target in the first step: what the last one
+// leaves of the exposure.
+func (v *OrderView) canary() float64 {
+	const rest = allPart + publishPart
+	return max((usedExposure*v.ExposureShare-rest)/(1-rest), minCanary*v.ExposureShare)
+}
+
 // NewOrderDetector returns the test for the target of an order.
 func NewOrderDetector(now kcclock.Millis, o kctable.Order) *Detector {
 	return NewDetectorEvery(now, max(o.SpanMs/detectorSteps, kcclock.Second))
@@ -82,7 +92,7 @@
 		return Decision{Never: true}
 	case v.Progress.Step == 0 || !v.InTouch:
 		// Out of touch, a stop that was published would not be known.
-		return Decision{Share: canaryPart * v.ExposureShare}
+		return Decision{Share: v.canary()}
 	}
 	return Decision{Share: 1, Move: true}
 }
@@ -97,16 +107,16 @@
 	}
 	_, doubt := d.Doubt()
 	sure := doubt < maxDoubt && d.Seen()[Failure].Total >= minEvidence
-	last := 1 - lastPart*v.ExposureShare
+	const finish = 1 - publishPart
 	switch part := v.part(); {
-	case sure && v.Progress.Step > 0 && part >= last+finishPart*(1-last):
+	case sure && v.Progress.Step > 0 && part >= finish:
 		next.Stage = kctable.Complete
 		return next, true
 	case part >= 1 && !sure:
 		// Too little is known for the target, and the time is over.
 		next.Stage = kctable.Reverted
 		return next, true
-	case sure && v.Progress.Step == 0 && part >= last:
+	case sure && v.Progress.Step == 0 && part >= finish-allPart:
 		next.Step = 1
 		return next, true
 	}
--- /dev/null
+++ b/internal/kcrollout/order_test.go
@@ -0,0 +1,163 @@
+package kcrollout_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// orderDay plays an order with 60 requests a second. badAt returns the chance
+// that an answer of the target counts as bad at a time.
+type orderDay struct {
+	stage      kctable.Stage
+	finishedAt kcclock.Millis
+	// target and all count the requests until the deadline.
+	target, all int
+	// afterBad is the time from the 50th bad answer to the last request of the
+	// target; 0 if there were fewer.
+	afterBad kcclock.Millis
+}
+
+const (
+	spanMs   = 24 * kcclock.Second
+	exposure = 0.15
+	tick     = 50 * kcclock.Millisecond
+	// judgeMs is the delay of the evidence and of the published state.
+	judgeMs = kcclock.Second
+)
+
+func playOrder(seed uint64, signal kcrollout.Signal, base float64, badAt func(kcclock.Millis) float64) orderDay {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var d orderDay
+	order := kctable.Order{Service: "s", Target: "v2", SpanMs: spanMs, Offset: 1}
+	v := kcrollout.OrderView{
+		Order: order, Known: true, InTouch: true, ExposureShare: exposure,
+		Progress: kctable.Progress{Service: "s", Target: "v2", Order: 1},
+	}
+	det := kcrollout.NewOrderDetector(0, order)
+	fresh, old := kcrollout.Strata{}, kcrollout.Strata{}
+	bad, fiftieth, last := 0, kcclock.Millis(0), kcclock.Millis(0)
+	for now := kcclock.Millis(0); now <= spanMs; now += tick {
+		v.Elapsed = now
+		dec := kcrollout.Decide(v)
+		for range 3 {
+			d.all++
+			isTarget := !dec.Never && (dec.Only || rnd.Float64() < dec.Share)
+			p, strata := base, old
+			if isTarget {
+				d.target++
+				last = now
+				p, strata = badAt(now), fresh
+			}
+			isBad := rnd.Float64() < p
+			t := strata["r"]
+			t.Add(kcrollout.Failure, isBad && signal == kcrollout.Failure)
+			if signal == kcrollout.Slow {
+				t.Add(signal, isBad)
+			}
+			strata["r"] = t
+			if isTarget && isBad {
+				if bad++; bad == 50 {
+					fiftieth = now
+				}
+			}
+		}
+		if now%judgeMs != 0 {
+			continue
+		}
+		det.Fold(now, fresh, old)
+		next, ok := kcrollout.Conclude(v, det)
+		if ok && v.Progress.Stage == kctable.Running {
+			v.Progress = next
+			if next.Stage != kctable.Running {
+				d.stage, d.finishedAt = next.Stage, now
+			}
+		}
+	}
+	if fiftieth > 0 {
+		d.afterBad = last - fiftieth
+	}
+	return d
+}
+
+func always(p float64) func(kcclock.Millis) float64 { return func(kcclock.Millis) float64 { return p } }
+
+// Guards against a bad version that gets more requests than it may, whether or
+// not its fault shows, and against one that is kept after 50 bad answers.
+func TestOrderBoundsExposure(t *testing.T) {
+	late := func(kcclock.Millis) func(kcclock.Millis) float64 {
+		return func(now kcclock.Millis) float64 {
+			if now < 12*kcclock.Second {
+				return 0
+			}
+			return 0.4
+		}
+	}
+	cases := map[string]struct {
+		signal kcrollout.Signal
+		base   float64
+		badAt  func(kcclock.Millis) float64
+	}{
+		"fails a third":    {kcrollout.Failure, 0.005, always(0.33)},
+		"fails late":       {kcrollout.Failure, 0.005, late(0)},
+		"all answers slow": {kcrollout.Slow, 0.2, always(0.95)},
+		"does not show":    {kcrollout.Failure, 0.005, always(0)},
+	}
+	for name, c := range cases {
+		for seed := range uint64(20) {
+			d := playOrder(seed, c.signal, c.base, c.badAt)
+			// The bound of the users: the share of all requests and 30 more.
+			if allowed := int(exposure*float64(d.all)) + 30; d.target > allowed {
+				t.Errorf("%s, seed %d: %d of %d requests, allowed %d", name, seed, d.target, d.all, allowed)
+			}
+			if d.afterBad > 5*kcclock.Second {
+				t.Errorf("%s, seed %d: requests until %d ms after the 50th bad answer", name, seed, d.afterBad)
+			}
+		}
+	}
+}
+
+// Guards against a good version that is not in force at the deadline, and
+// against a bad one that is.
+func TestOrderIsConcludedInTime(t *testing.T) {
+	reverted := 0
+	for seed := range uint64(100) {
+		d := playOrder(seed, kcrollout.Failure, 0.005, always(0.005))
+		if d.stage != kctable.Complete || d.finishedAt == 0 {
+			reverted++
+		}
+		if d = playOrder(seed, kcrollout.Failure, 0.005, always(0.33)); d.stage != kctable.Reverted || d.finishedAt == 0 {
+			t.Errorf("seed %d: a version that fails a third is %v", seed, d.stage)
+		}
+	}
+	if reverted > 1 {
+		t.Errorf("%d of 100 good versions were not completed, want at most 1", reverted)
+	}
+}
+
+// Guards against an instance that sends to the target although it does not know
+// the newest state.
+func TestOrderOutOfTouch(t *testing.T) {
+	v := kcrollout.OrderView{
+		Order: kctable.Order{SpanMs: spanMs, Offset: 1}, ExposureShare: exposure, Elapsed: spanMs - 500,
+		Progress: kctable.Progress{Order: 1, Step: 1},
+	}
+	if d := kcrollout.Decide(v); !d.Never {
+		t.Errorf("unknown start: %+v, want no request", d)
+	}
+	v.Known = true
+	if d := kcrollout.Decide(v); d.Share > exposure || d.Move {
+		t.Errorf("out of touch: %+v, want the first step", d)
+	}
+	v.InTouch = true
+	if d := kcrollout.Decide(v); d.Share != 1 || !d.Move || d.Only {
+		t.Errorf("in touch: %+v, want all requests", d)
+	}
+	v.Progress.Stage = kctable.Reverted
+	if d := kcrollout.Decide(v); !d.Never {
+		t.Errorf("reverted: %+v, want no request", d)
+	}
+}
