kcgate, kcroute: Place prompts by the work in front of them

Cause: prompts differ by a factor of a hundred in the time to read them, and requests were placed by their number and by the hash of their shared part. Change: the cost of an upstream is the time to read what is in front of the request and what of its own prompt is not expected there, plus distance and running requests.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -28,6 +28,8 @@
 	// plainSilentPart is the same for requests that answer at once. Their
 	// objective leaves no room for a second try, so the first may go on.
 	plainSilentPart = 2.0
+	// plainHoldMs is assumed for plain services before the first answer.
+	plainHoldMs = 60
 	// silentPace is the number of usual times to the first event after which
 	// a try is checked.
 	silentPace = 6
@@ -65,7 +67,7 @@
 			x.fail(ctx, reasonTimeout, elsewhereMs)
 			return
 		}
-		c, ok := x.choose(tried)
+		c, ok := x.choose(tried, model)
 		if !ok {
 			reason, wait := reasonNoUpstream, fullRetryMs
 			if allFull {
@@ -115,7 +117,7 @@
 func (x *exchange) left() kcclock.Millis { return x.deadline - x.g.Clock.Now() }
 
 // choose takes an upstream of a version that may run the request.
-func (x *exchange) choose(tried kcset.Set[string]) (choice, bool) {
+func (x *exchange) choose(tried kcset.Set[string], model string) (*choice, bool) {
 	available, first := x.g.Upstreams.versions(x.service)
 	key := x.ask.Session
 	if key == "" {
@@ -123,22 +125,34 @@
 	}
 	return x.g.Upstreams.take(want{
 		service: x.service, version: x.g.Orders.allow(x.service, key, available, first),
-		tried: tried, affinity: x.affinity(),
+		tried: tried, prompt: x.prompt(model), holdMs: x.holdMs(),
 		part: func(version string) float64 { return x.g.Orders.part(x.service, version) },
 	})
 }
 
-// affinity returns a key for the part of the prompt that other requests share:
-// all parts but the last, which belongs to the request or its session.
-func (x *exchange) affinity() uint64 {
-	if n := len(x.ask.Parts); n >= 2 {
-		return xxhash.Sum64String(x.ask.Parts[n-2].ID) | 1
+// prompt returns what an engine has to read for the request.
+func (x *exchange) prompt(model string) prompt {
+	p := prompt{model: model, parts: x.ask.Parts, tokens: x.ask.PromptTokens}
+	if p.tokens > 0 {
+		p.msPerToken = x.g.paces.read(model)
 	}
-	return 0
+	// The last part belongs to the request or its session.
+	if n := len(p.parts); n >= 2 {
+		p.affinity = xxhash.Sum64String(p.parts[n-2].ID) | 1
+	}
+	return p
+}
+
+// holdMs returns about the time that the request keeps its place.
+func (x *exchange) holdMs() float64 {
+	if x.ask.PromptTokens > 0 {
+		return engineHoldMs
+	}
+	return x.g.times.usually("answer/"+x.route.Name, plainHoldMs)
 }
 
 // try sends the request to one upstream and passes its answer on.
-func (x *exchange) try(ctx context.Context, c choice, model string) verdict {
+func (x *exchange) try(ctx context.Context, c *choice, model string) verdict {
 	now := x.g.Clock.Now()
 	x.sends = append(x.sends, send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now, confidence: -1})
 	x.slow, x.timed = false, false
@@ -155,6 +169,7 @@
 	if err != nil {
 		return x.sendFailed(ctx, c, err, end)
 	}
+	x.g.Upstreams.begun(c)
 	head := x.g.Codec.Head(resp.Response)
 	if head.HasLoad {
 		x.g.Upstreams.report(c, head.Load)
@@ -193,7 +208,7 @@
 }
 
 // sendFailed classifies a send without an answer.
-func (x *exchange) sendFailed(ctx context.Context, c choice, err error, end func(execution, string)) verdict {
+func (x *exchange) sendFailed(ctx context.Context, c *choice, err error, end func(execution, string)) verdict {
 	var failure *kcconn.Error
 	sent := !errors.As(err, &failure) || failure.Sent
 	callerLeft := x.r.Context().Err() != nil
@@ -222,7 +237,7 @@
 
 // silenceWait returns the time after which a try without an answer is checked
 // for signs of life of its upstream, or 0 if it may take as long as it likes.
-func (x *exchange) silenceWait(c choice, model string) kcclock.Millis {
+func (x *exchange) silenceWait(c *choice, model string) kcclock.Millis {
 	if !x.route.MayRepeat() || x.sends.runs()+1 >= x.route.MaxAttempts || c.candidates < 2 || x.route.ObjectiveMs <= 0 {
 		return 0
 	}
@@ -240,7 +255,7 @@
 // watchSilence ends a try whose upstream is silent on all connections, while
 // another upstream could still answer in time. An upstream that answers others
 // is busy, and the request keeps its place there. The result ends the watch.
-func (x *exchange) watchSilence(c choice, model string, cancel context.CancelCauseFunc) func() {
+func (x *exchange) watchSilence(c *choice, model string, cancel context.CancelCauseFunc) func() {
 	wait := x.silenceWait(c, model)
 	if wait <= 0 {
 		return func() {}
@@ -271,7 +286,7 @@
 }
 
 // request returns the request as it is sent to an upstream.
-func (x *exchange) request(c choice, model string, lastEvent int64) *kcconn.Request {
+func (x *exchange) request(c *choice, model string, lastEvent int64) *kcconn.Request {
 	req := &kcconn.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, ID: x.ask.ID,
 		Header: x.g.Codec.Dispatch(Dispatch{
@@ -286,7 +301,7 @@
 }
 
 // count adds the outcome of a try to the evidence of an order.
-func (x *exchange) count(c choice, bad bool) {
+func (x *exchange) count(c *choice, bad bool) {
 	x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Failure, bad)
 	if !bad && x.timed {
 		// The times are compared per model and route already.
@@ -295,7 +310,7 @@
 }
 
 // judge compares a time of the present try with the usual ones.
-func (x *exchange) judge(c choice, key string, v, factor float64) {
+func (x *exchange) judge(c *choice, key string, v, factor float64) {
 	slow, known := x.g.times.slow(key, v, factor)
 	x.slow, x.timed = x.slow || slow, x.timed || known
 	if !x.g.Orders.onTrial(x.service, c.Version) {
--- a/internal/kcgate/pace.go
+++ b/internal/kcgate/pace.go
@@ -15,6 +15,11 @@
 	// startPace is assumed before the first answer, in ms per prompt token: an
 	// engine that reads 30 tokens in a millisecond.
 	startPace = 0.03
+	// startReading is the same without queueing.
+	startReading = 0.012
+	// idlePart is the part of the answers that come faster than an engine reads
+	// a prompt of which it has read no part before, without waiting.
+	idlePart = 0.25
 	// basePromptTokens is added to each prompt, so that short ones do not
 	// teach an endless pace.
 	basePromptTokens = 1500
@@ -46,9 +51,24 @@
 	mu sync.Mutex
 	// perToken holds milliseconds per prompt token.
 	perToken map[string]*quantile
+	// reading holds milliseconds per token that an engine reads while nothing
+	// else holds it up.
+	reading map[string]*quantile
 }
 
-func newPaces() *paces { return &paces{perToken: make(map[string]*quantile)} }
+func newPaces() *paces {
+	return &paces{perToken: make(map[string]*quantile), reading: make(map[string]*quantile)}
+}
+
+// read returns the time in which an idle engine reads a token.
+func (p *paces) read(model string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q := p.reading[model]; q != nil {
+		return q.value
+	}
+	return startReading
+}
 
 // expect returns the usual time to the first event.
 func (p *paces) expect(model string, promptTokens int) kcclock.Millis {
@@ -71,6 +91,15 @@
 		p.perToken[model] = m
 	}
 	m.learn(half, max(float64(took), 1)/float64(promptTokens+basePromptTokens))
+	if promptTokens < longPrompt {
+		return
+	}
+	q := p.reading[model]
+	if q == nil {
+		q = &quantile{value: startReading, seen: 1}
+		p.reading[model] = q
+	}
+	q.learn(idlePart, max(float64(took-firstMs)/float64(promptTokens), minValue))
 }
 
 const (
@@ -121,6 +150,16 @@
 // minValue keeps the values positive.
 const minValue = 1e-6
 
+// usually returns the median of key, or start if it is not known.
+func (u *usual) usually(key string, start float64) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if s := u.keys[key]; s != nil {
+		return s.median.value
+	}
+	return start
+}
+
 // slow reports whether v is far above the usual values, and false if these are
 // not known.
 func (u *usual) slow(key string, v, factor float64) (slow, known bool) {
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -17,7 +17,7 @@
 const maxHeldBytes = 512 << 10
 
 // pass passes an answer on.
-func (x *exchange) pass(ctx context.Context, c choice, resp *kcconn.Response, end func(execution, string)) verdict {
+func (x *exchange) pass(ctx context.Context, c *choice, resp *kcconn.Response, end func(execution, string)) verdict {
 	if x.route.Effect == kctable.Stream && resp.StatusCode == http.StatusOK {
 		return x.passStream(ctx, c, resp, end)
 	}
@@ -85,7 +85,7 @@
 }
 
 // releaseBroken ends the use of an upstream that broke off its answer.
-func (x *exchange) releaseBroken(ctx context.Context, c choice) {
+func (x *exchange) releaseBroken(ctx context.Context, c *choice) {
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
 		x.g.Upstreams.release(c, neutral)
 		return
@@ -112,7 +112,7 @@
 
 // passStream passes events on as they arrive, and resumes the stream at other
 // upstreams if it breaks off.
-func (x *exchange) passStream(ctx context.Context, c choice, resp *kcconn.Response, end func(execution, string)) verdict {
+func (x *exchange) passStream(ctx context.Context, c *choice, resp *kcconn.Response, end func(execution, string)) verdict {
 	last := x.ask.LastEvent
 	broken := x.relay(ctx, c, resp, &last)
 	switch {
@@ -139,7 +139,7 @@
 // relay copies events until the stream ends. It returns nil for a whole
 // stream, and otherwise how it broke off. last is the id of the last event
 // that was passed on.
-func (x *exchange) relay(ctx context.Context, c choice, resp *kcconn.Response, last *int64) error {
+func (x *exchange) relay(ctx context.Context, c *choice, resp *kcconn.Response, last *int64) error {
 	rd := newEventReader(resp.Body)
 	gap := x.gapMs()
 	began := kcclock.Millis(0)
@@ -190,7 +190,7 @@
 }
 
 // startStream writes the head of the answer before the first event.
-func (x *exchange) startStream(resp *kcconn.Response, c choice) {
+func (x *exchange) startStream(resp *kcconn.Response, c *choice) {
 	if x.started {
 		return
 	}
@@ -202,12 +202,12 @@
 
 // resume continues a stream that broke off after a part of it went out. The
 // answer keeps the head of its first upstream.
-func (x *exchange) resume(ctx context.Context, c choice, last *int64) {
+func (x *exchange) resume(ctx context.Context, c *choice, last *int64) {
 	tried := make(map[string]struct{})
 	tried[c.ID] = struct{}{}
 	model := x.sends[len(x.sends)-1].model
 	for x.mayRepeat() && ctx.Err() == nil && x.g.takeRepeat(x.service) {
-		next, ok := x.choose(tried)
+		next, ok := x.choose(tried, model)
 		if !ok {
 			break
 		}
@@ -227,7 +227,7 @@
 
 // resumeAt continues a stream at one upstream and reports whether it came to
 // its end.
-func (x *exchange) resumeAt(ctx context.Context, c choice, model string, last *int64) bool {
+func (x *exchange) resumeAt(ctx context.Context, c *choice, model string, last *int64) bool {
 	now := x.g.Clock.Now()
 	s := send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now, execution: maybeRan, confidence: -1}
 	defer func() {
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
@@ -36,8 +38,14 @@
 type upstream struct {
 	kctable.Upstream
 	region   string
+	seed     uint64
 	inFlight int
-	breaker  *kcretry.Breaker
+	// workMs is the work of the requests of this instance that have no answer
+	// yet; the peers fields are the sums over other instances.
+	workMs       float64
+	peersWorkMs  float64
+	peersRunning int
+	breaker      *kcretry.Breaker
 	// load is the last report, from reportAt, when base requests of this
 	// instance were in flight.
 	load     Load
@@ -52,10 +60,11 @@
 
 // estimate returns the number of running and waiting requests.
 func (u *upstream) estimate(now kcclock.Millis) int {
+	known := u.inFlight + u.peersRunning
 	if u.reportAt == 0 || now-u.reportAt > reportMs {
-		return u.inFlight
+		return known
 	}
-	return max(u.load.Running+u.load.Waiting+u.inFlight-u.base, u.inFlight)
+	return max(u.load.Running+u.load.Waiting+u.inFlight-u.base, known)
 }
 
 // Upstreams holds the upstreams of all services.
@@ -69,11 +78,14 @@
 	mu    sync.Mutex
 	byID  map[string]*upstream
 	known bool
+	peers map[string]*peer
+	reads readParts
 }
 
 // NewUpstreams returns an empty list for an instance in zone.
 func NewUpstreams(clock kcclock.Clock, zone string, regions map[string]string) *Upstreams {
-	return &Upstreams{clock: clock, zone: zone, region: regions[zone], regions: regions, byID: make(map[string]*upstream)}
+	return &Upstreams{clock: clock, zone: zone, region: regions[zone], regions: regions, byID: make(map[string]*upstream),
+		peers: make(map[string]*peer)}
 }
 
 // Known reports whether the list was read.
@@ -116,7 +128,9 @@
 		old.Upstream, old.goneAt = u, 0
 		return changed
 	}
-	l.byID[u.ID] = &upstream{Upstream: u, region: l.regions[u.Zone], breaker: kcretry.NewBreaker(breakerOptions)}
+	l.byID[u.ID] = &upstream{
+		Upstream: u, region: l.regions[u.Zone], breaker: kcretry.NewBreaker(breakerOptions), seed: xxhash.Sum64String(u.ID),
+	}
 	return true
 }
 
@@ -191,8 +205,10 @@
 	part func(version string) float64
 	// tried holds the ids to leave out.
 	tried kcset.Set[string]
-	// affinity is the key of the shared part of the prompt, 0 for none.
-	affinity uint64
+	// prompt is the prompt of requests to engines.
+	prompt prompt
+	// holdMs is about the time that a request keeps its place.
+	holdMs float64
 }
 
 // choice is an upstream that was taken. Its owner must release it.
@@ -203,15 +219,17 @@
 	// upstreams that could have been taken.
 	load       int
 	candidates int
+	// workMs is the work that is counted until the answer begins.
+	workMs float64
 }
 
 // take chooses an upstream and counts a request for it.
-func (l *Upstreams) take(w want) (choice, bool) {
+func (l *Upstreams) take(w want) (*choice, bool) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.expirePeers(now)
 	var list []*upstream
-	var runners []kcroute.Runner
 	for _, u := range l.byID {
 		if u.Service == w.service && !u.Leaving && w.version(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now) {
 			list = append(list, u)
@@ -221,19 +239,17 @@
 	// Equal runners are taken in a random order, so that instances do not
 	// choose alike.
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for _, u := range list {
-		runners = append(runners, kcroute.Runner{
-			ID: u.ID, Zone: u.Zone, Region: u.region, Slots: u.Slots, Load: u.estimate(now),
-		})
-	}
-	pool := kcroute.NewPool(runners, 0)
-	pl := kcroute.Placement{Zone: l.zone, Region: l.region, Remote: true, Skip: -1}
-	if w.affinity != 0 {
-		pl.Prefixes = []uint64{w.affinity}
+	home := l.home(w, list)
+	workers := make([]kcroute.Worker, len(list))
+	for i, u := range list {
+		workers[i] = kcroute.Worker{
+			Slots: u.Slots, Running: u.estimate(now), WaitMs: u.workMs + u.peersWorkMs,
+			OwnMs: l.readMs(w.prompt, u, u == home), FarMs: l.farMs(u), HoldMs: w.holdMs, PerRequestMs: perRequestMs,
+		}
 	}
-	i := kcroute.Place(pool, pl, nil)
+	i := kcroute.PlaceByWork(workers)
 	if i < 0 {
-		return choice{}, false
+		return nil, false
 	}
 	u := list[i]
 	u.breaker.Allow(now, 0)
@@ -241,14 +257,56 @@
 		u.aliveAt.Store(int64(now))
 	}
 	u.inFlight++
-	return choice{u: u, Upstream: u.Upstream, load: runners[i].Load, candidates: len(list)}, true
+	u.workMs += workers[i].OwnMs
+	l.reads.add(w.prompt, u.ID, now)
+	return &choice{
+		u: u, Upstream: u.Upstream, load: workers[i].Running, candidates: len(list), workMs: workers[i].OwnMs,
+	}, true
+}
+
+// home returns the upstream at which all instances of an availability zone
+// expect the shared parts of a prompt, unless it is busy.
+func (l *Upstreams) home(w want, list []*upstream) *upstream {
+	if w.prompt.affinity == 0 {
+		return nil
+	}
+	var best *upstream
+	var most uint64
+	for _, u := range list {
+		if u.Zone != l.zone {
+			continue
+		}
+		if h := w.prompt.affinity ^ u.seed; best == nil || mix(h) > most {
+			best, most = u, mix(h)
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of SplitMix64; it spreads the bits of x.
+func mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// begun notes that the answer has begun: the prompt is read.
+func (l *Upstreams) begun(c *choice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.dropWork()
+}
+
+func (c *choice) dropWork() {
+	c.u.workMs = max(c.u.workMs-c.workMs, 0)
+	c.workMs = 0
 }
 
 // alive notes that the upstream sent something.
-func (l *Upstreams) alive(c choice) { c.u.aliveAt.Store(int64(l.clock.Now())) }
+func (l *Upstreams) alive(c *choice) { c.u.aliveAt.Store(int64(l.clock.Now())) }
 
 // silentFor returns the time since the upstream last sent anything.
-func (l *Upstreams) silentFor(c choice) kcclock.Millis {
+func (l *Upstreams) silentFor(c *choice) kcclock.Millis {
 	return l.clock.Now() - kcclock.Millis(c.u.aliveAt.Load())
 }
 
@@ -288,11 +346,12 @@
 )
 
 // release ends the use of an upstream.
-func (l *Upstreams) release(c choice, o outcome) {
+func (l *Upstreams) release(c *choice, o outcome) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.u.inFlight--
+	c.dropWork()
 	switch o {
 	case good:
 		c.u.breaker.Done(now, true)
@@ -306,7 +365,7 @@
 }
 
 // report notes the load that an upstream stated.
-func (l *Upstreams) report(c choice, load Load) {
+func (l *Upstreams) report(c *choice, load Load) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/kcload/kcload.go
@@ -0,0 +1,114 @@
+// Package kcload tells other instances how much work this one has sent to each
+// upstream. The messages are hints: they hold the whole state of their sender,
+// so that lost, repeated and late ones do no harm.
+package kcload
+
+import (
+	"encoding/binary"
+
+	"github.com/zeebo/errs"
+)
+
+// Share is the work of one instance at one upstream.
+type Share struct {
+	Upstream string
+	// WorkMs is the work that has not begun to answer, in milliseconds of the
+	// upstream.
+	WorkMs int
+	// Running is the number of requests.
+	Running int
+}
+
+// Message is the state of one instance.
+type Message struct {
+	Instance string
+	// Seq orders the messages of an instance. It starts at the time of its
+	// start, so that it goes on after a restart.
+	Seq    uint64
+	Shares []Share
+}
+
+const (
+	format = 1
+	// MaxBytes bounds a message: it fits into one packet of an Ethernet link.
+	MaxBytes = 1400
+	// maxShares bounds the shares that a message may state.
+	maxShares = 256
+	// maxName bounds a name.
+	maxName = 128
+)
+
+// Encode returns the bytes of m. Shares that do not fit are left out.
+func Encode(m Message) []byte {
+	b := []byte{format}
+	b = appendString(b, m.Instance)
+	b = binary.AppendUvarint(b, m.Seq)
+	for _, s := range m.Shares {
+		next := appendString(b, s.Upstream)
+		next = binary.AppendUvarint(next, uint64(max(s.WorkMs, 0)))
+		next = binary.AppendUvarint(next, uint64(max(s.Running, 0)))
+		if len(next) > MaxBytes {
+			break
+		}
+		b = next
+	}
+	return b
+}
+
+func appendString(b []byte, s string) []byte {
+	s = s[:min(len(s), maxName)]
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+var errCut = errs.New("the message is cut off")
+
+// Decode reads a message.
+func Decode(b []byte) (Message, error) {
+	var m Message
+	if len(b) == 0 || b[0] != format {
+		return m, errs.New("unknown format")
+	}
+	d := decoder{b: b[1:]}
+	m.Instance = d.string()
+	m.Seq = d.number()
+	for len(d.b) > 0 && d.err == nil && len(m.Shares) < maxShares {
+		s := Share{Upstream: d.string()}
+		s.WorkMs, s.Running = int(d.number()&maxNumber), int(d.number()&maxNumber)
+		if d.err == nil {
+			m.Shares = append(m.Shares, s)
+		}
+	}
+	if d.err == nil && m.Instance == "" {
+		d.err = errs.New("the message names no instance")
+	}
+	return m, d.err
+}
+
+// maxNumber bounds the numbers of a message.
+const maxNumber = 1<<31 - 1
+
+type decoder struct {
+	b   []byte
+	err error
+}
+
+func (d *decoder) number() uint64 {
+	v, n := binary.Uvarint(d.b)
+	if n <= 0 {
+		d.b, d.err = nil, errCut
+		return 0
+	}
+	d.b = d.b[n:]
+	return v
+}
+
+func (d *decoder) string() string {
+	n := d.number()
+	if n > maxName || n > uint64(len(d.b)) {
+		d.b, d.err = nil, errCut
+		return ""
+	}
+	s := string(d.b[:n])
+	d.b = d.b[n:]
+	return s
+}
--- /dev/null
+++ b/internal/kcload/kcload_test.go
@@ -0,0 +1,55 @@
+package kcload_test
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcload"
+)
+
+// Guards against shares that are mixed up on the way.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := kcload.Message{Instance: rapid.StringN(1, 20, 60).Draw(t, "name"), Seq: rapid.Uint64().Draw(t, "seq")}
+		for range rapid.IntRange(0, 20).Draw(t, "shares") {
+			m.Shares = append(m.Shares, kcload.Share{
+				Upstream: rapid.StringN(0, 12, 24).Draw(t, "upstream"),
+				WorkMs:   rapid.IntRange(0, 1<<30).Draw(t, "work"), Running: rapid.IntRange(0, 1<<20).Draw(t, "running"),
+			})
+		}
+		got, err := kcload.Decode(kcload.Encode(m))
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("%+v, %v: want %+v", got, err, m)
+		}
+	})
+}
+
+// Guards against a message that is larger than a packet.
+func TestLargeMessagesAreCut(t *testing.T) {
+	m := kcload.Message{Instance: "i"}
+	for range 500 {
+		m.Shares = append(m.Shares, kcload.Share{Upstream: strings.Repeat("u", 20), WorkMs: 5})
+	}
+	b := kcload.Encode(m)
+	if got, err := kcload.Decode(b); len(b) > kcload.MaxBytes || err != nil || len(got.Shares) < 50 {
+		t.Errorf("%d bytes, %d shares, %v", len(b), len(got.Shares), err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(kcload.Encode(kcload.Message{Instance: "i", Seq: 1, Shares: []kcload.Share{{Upstream: "u", WorkMs: 3, Running: 1}}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := kcload.Decode(b)
+		if err != nil {
+			return
+		}
+		for _, s := range m.Shares {
+			if s.WorkMs < 0 || s.Running < 0 {
+				t.Errorf("%+v", s)
+			}
+		}
+	})
+}
