kcedge, kcload: Tell peers the work that was sent to each upstream

Change: instances enter themselves into a keyed topic and send datagrams with their unanswered work, every 25 ms within an availability zone and every 200 ms within a region. An order ends 1.2 s before its deadline: one that was reported 0.3 s before it counted as missed.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -81,6 +81,8 @@
 	config    *kcfeed.Follower
 	upstreams *kcfeed.Follower
 	progress  *kcfeed.Follower
+	instances *kcfeed.Follower
+	peers     *peers
 	orders    *orderKeeper
 }
 
@@ -105,6 +107,8 @@
 	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, e.applyOperator)
 	e.upstreams = follow(kcplatform.TopicUpstreams, upstreamWaitMs, upstreamPauseMs, e.applyUpstreams)
 	e.progress = follow(kcplatform.TopicProgress, progressWaitMs, 0, e.applyProgress)
+	e.peers = newPeers(e)
+	e.instances = follow(kcplatform.TopicInstances, peerWaitMs, peerPauseMs, e.peers.apply)
 	e.gate = kcgate.New(kcgate.Options{
 		Deployment: opts.Deployment, Codec: kcplatform.Codec{}, Pool: e.pool, Clock: clock, Wall: kcclock.System{},
 		Log: opts.Log, Metrics: e.metrics, ConfigAge: e.config.Age, ProgressAge: e.progress.Age,
@@ -149,12 +153,14 @@
 		return errs.New("listen for readiness checks: %v", err)
 	}
 	e.Log.Info("start", "instance", d.Instance, "zone", d.Zone, "callers", d.CallerAddr, "store", d.StoreAddr)
+	e.peers.listen()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	ended := make(chan string)
 	tasks := []task{
 		{"config", e.config.Run}, {"upstreams", e.upstreams.Run}, {"progress", e.progress.Run},
-		{"orders", e.orders.run}, {"sweep", e.sweep}, {"reload", e.reload},
+		{"orders", e.orders.run}, {"instances", e.instances.Run}, {"tell", e.peers.tell}, {"hear", e.peers.hear},
+		{"sweep", e.sweep}, {"reload", e.reload},
 	}
 	for _, t := range tasks {
 		go func() {
@@ -168,6 +174,7 @@
 	}
 	<-ctx.Done()
 	e.leave()
+	e.peers.leave()
 	stop()
 	for range tasks {
 		<-ended
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -17,7 +17,7 @@
 	allPart = 0.03
 	// publishPart is left at the end of an order to publish its state: a tick
 	// of the judge and a call of a slow store.
-	publishPart = 0.035
+	publishPart = 0.05
 	// minCanary is the least share of the first step, as a part of the
 	// permitted exposure.
 	minCanary = 0.2
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -16,6 +16,9 @@
 	CallerAddr string
 	ReadyAddr  string
 	StoreAddr  string
+	// PeerAddr is the host:port for datagrams of other instances; empty for
+	// none.
+	PeerAddr string
 	// MemoryMB is the limit at which the process is killed.
 	MemoryMB int
 	Bounds   Bounds
