--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -49,17 +49,26 @@
 	// was removed is then known to be valid no longer than 2.5 s ago, half of
 	// the shortest time in which that must take effect.
 	configWaitMs = 1500 * kcclock.Millisecond
-	// upstreamWaitMs is how long a read of the list of upstreams waits.
-	upstreamWaitMs = 3000 * kcclock.Millisecond
+	// upstreamWaitMs is how long a read of the list of upstreams waits. A
+	// connection that went silent is then noticed within 3.2 s, before the
+	// instance counts as in touch again.
+	upstreamWaitMs = 2000 * kcclock.Millisecond
 	// upstreamPauseMs is the pause between reads of the list that find records,
 	// so that many changes at once are read together. It is well below the
 	// 2.5 s after which a leaving upstream must get no request.
-	upstreamPauseMs = 200 * kcclock.Millisecond
+	upstreamPauseMs = 400 * kcclock.Millisecond
 	// progressWaitMs is how long a read of the state of orders waits.
-	progressWaitMs = 3000 * kcclock.Millisecond
+	progressWaitMs = 2500 * kcclock.Millisecond
 	// callMs bounds a call of the store: it takes 4 ms, and 350 ms on the
 	// slowest days that were announced.
 	callMs = 1200 * kcclock.Millisecond
+	// peerSlackMs is added to the wait of a read for the age from which the
+	// word of the instance that reads for others is not enough. With the wait
+	// at the peer the configuration is then at most 3.2 s old, below the
+	// shortest time in which a removed key must not work.
+	peerSlackMs = 700 * kcclock.Millisecond
+	// directMs is how long the store is read directly after that.
+	directMs = 3000 * kcclock.Millisecond
 	// sweepMs is the time between sweeps of idle connections.
 	sweepMs = 500 * kcclock.Millisecond
 	// memoryPart is the part of the memory limit at which the garbage
@@ -98,16 +107,20 @@
 		Clock: clock, DialMs: dialMs, UnackedMs: unackedMs, IdleMs: upstreamIdleMs, MaxIdle: 4,
 	})
 	e.store = &kcplatform.Store{Pool: e.storePool, Addr: opts.Deployment.StoreAddr, Called: e.countCall}
+	e.peers = newPeers(e)
 	follow := func(topic string, wait, pause kcclock.Millis, apply func([]kcfeed.Record, bool, bool)) *kcfeed.Follower {
+		reader := &kcfeed.PeerReader{
+			Store: e.store, Pool: e.storePool, Clock: clock, Peer: e.peers.reader,
+			MaxAgeMs: wait + peerSlackMs, DirectMs: directMs,
+		}
 		return kcfeed.New(kcfeed.Options{
-			Reader: e.store, Clock: clock, Log: opts.Log, Topic: topic,
+			Reader: reader, Clock: clock, Log: opts.Log, Topic: topic,
 			WaitMs: wait, PauseMs: pause, CallMs: callMs, Apply: apply,
 		})
 	}
 	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, e.applyOperator)
 	e.upstreams = follow(kcplatform.TopicUpstreams, upstreamWaitMs, upstreamPauseMs, e.applyUpstreams)
 	e.progress = follow(kcplatform.TopicProgress, progressWaitMs, 0, e.applyProgress)
-	e.peers = newPeers(e)
 	e.instances = follow(kcplatform.TopicInstances, peerWaitMs, peerPauseMs, e.peers.apply)
 	e.gate = kcgate.New(kcgate.Options{
 		Deployment: opts.Deployment, Codec: kcplatform.Codec{}, Pool: e.pool, Clock: clock, Wall: kcclock.System{},
@@ -169,6 +182,14 @@
 		}()
 	}
 	servers := []*http.Server{e.serveCallers(front), serve(ready, http.HandlerFunc(e.answerReady))}
+	if ln := e.peers.serving(); ln != nil {
+		mux := http.NewServeMux()
+		mux.Handle("GET "+kcfeed.FeedPath, &kcfeed.Relay{Clock: kcclock.Boot{}, Followers: map[string]*kcfeed.Follower{
+			kcplatform.TopicOperator: e.config, kcplatform.TopicUpstreams: e.upstreams, kcplatform.TopicProgress: e.progress,
+		}})
+		mux.HandleFunc("POST "+evidencePath, e.peers.take)
+		servers = append(servers, serve(ln, mux))
+	}
 	if m := e.serveMetrics(); m != nil {
 		servers = append(servers, m)
 	}
--- a/internal/kcedge/orders.go
+++ b/internal/kcedge/orders.go
@@ -17,7 +17,8 @@
 	// orderTickMs is the time between looks at open orders.
 	orderTickMs = 250 * kcclock.Millisecond
 	// quietMs and badMs are the times between publications of evidence:
-	// without and with new answers that speak against the target.
+	// without and with new answers that speak against the target. Instances
+	// give theirs to the one that reads the store for their availability zone.
 	quietMs = 3000 * kcclock.Millisecond
 	badMs   = 500 * kcclock.Millisecond
 	// holdMs is the time after which the judge of an order is replaced.
@@ -135,24 +136,35 @@
 	if o.Changed == 0 || since < badMs || (o.Bad == 0 && since < quietMs) {
 		return
 	}
-	r, ok := k.e.gate.Orders.TakeReport(o.Service)
-	if !ok {
+	k.published[o.Service] = now
+	reports := k.e.gate.Orders.TakeReports(o.Service)
+	if len(reports) == 0 {
+		return
+	}
+	for i := range reports {
+		reports[i].News = o.Bad > 0
+	}
+	if addr, other := k.e.peers.reader(); other && k.e.peers.pass(ctx, addr, reports) {
 		return
 	}
-	raw, err := json.Marshal(r)
+	raw, err := json.Marshal(reports)
 	if err != nil {
 		k.e.Log.Error("evidence not written", "error", err)
 		return
 	}
-	k.published[o.Service] = now
 	k.call(ctx, "write evidence", func(ctx context.Context) error {
 		return k.e.store.Append(ctx, kcplatform.TopicEvidence, raw)
 	})
 }
 
-// hold keeps this instance in the group that the judge is taken from.
+// hold keeps this instance in the group that the judge is taken from: the
+// instances that read the store for their availability zones.
 func (k *orderKeeper) hold(ctx context.Context) {
 	now := k.clock.Now()
+	if _, other := k.e.peers.reader(); other {
+		k.leave(ctx)
+		return
+	}
 	if now < k.joinAt {
 		return
 	}
@@ -215,11 +227,13 @@
 	}
 	k.from = page.End
 	for _, r := range page.Records {
-		var report kcgate.Report
-		if err := json.Unmarshal(r.Value, &report); err != nil {
+		var reports []kcgate.Report
+		if err := json.Unmarshal(r.Value, &reports); err != nil {
 			k.e.Log.Warn("evidence ignored", "offset", r.Offset, "error", err)
 			continue
 		}
-		k.e.gate.Orders.Merge(report)
+		for _, report := range reports {
+			k.e.gate.Orders.Merge(report)
+		}
 	}
 }
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -4,12 +4,16 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
+	"github.com/kingcuprail/kingcuprail/internal/kcgate"
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 	kcplatform "github.com/kingcuprail/kingcuprail/platform"
 )
@@ -23,6 +27,11 @@
 	// stillMs is the time after which an unchanged state is told again, well
 	// below the time for which it counts.
 	stillMs = 500 * kcclock.Millisecond
+	// readerMs is the time after which an instance that was not heard does not
+	// read for others.
+	readerMs = 1200 * kcclock.Millisecond
+	// passMs bounds a call of a peer in the same availability zone.
+	passMs = 300 * kcclock.Millisecond
 	// peerWaitMs is how long a read of the list of instances waits: the longest
 	// time that the store allows.
 	peerWaitMs = 30_000 * kcclock.Millisecond
@@ -41,12 +50,17 @@
 type peers struct {
 	e    *Edge
 	conn *net.UDPConn
+	// ln takes reads of peers in the same availability zone.
+	ln net.Listener
 
-	mu   sync.Mutex
-	list map[string]peerEntry
+	mu    sync.Mutex
+	list  map[string]peerEntry
+	heard map[string]kcclock.Millis
 }
 
-func newPeers(e *Edge) *peers { return &peers{e: e, list: make(map[string]peerEntry)} }
+func newPeers(e *Edge) *peers {
+	return &peers{e: e, list: make(map[string]peerEntry), heard: make(map[string]kcclock.Millis)}
+}
 
 // listen opens the port for messages. Without it the instance still serves.
 func (p *peers) listen() {
@@ -54,11 +68,84 @@
 	if err == nil && p.e.Deployment.PeerAddr != "" {
 		p.conn, err = net.ListenUDP("udp", addr)
 	}
+	if err == nil && p.conn != nil {
+		p.ln, err = net.Listen("tcp", p.e.Deployment.PeerAddr) //nolint:noctx // lasts as long as the process
+	}
 	if err != nil {
 		p.e.Log.Error("messages between instances are off", "address", p.e.Deployment.PeerAddr, "error", err)
 	}
 }
 
+func (p *peers) serving() net.Listener { return p.ln }
+
+// reader returns the address of the instance that reads the store for its
+// availability zone: of those that were heard lately and this one, the one with
+// the highest hash. It returns false if that is this instance.
+func (p *peers) reader() (string, bool) {
+	now := kcclock.Boot{}.Now()
+	own := p.e.Deployment
+	best, most := "", kcset.RendezvousHash(own.Zone, own.Instance)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, entry := range p.list {
+		if entry.Zone != own.Zone || now-p.heard[name] > readerMs {
+			continue
+		}
+		if h := kcset.RendezvousHash(own.Zone, name); h > most {
+			best, most = entry.Address.String(), h
+		}
+	}
+	return best, best != ""
+}
+
+func (p *peers) note(instance string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.list[instance]; known {
+		p.heard[instance] = kcclock.Boot{}.Now()
+	}
+}
+
+// evidencePath takes the evidence of peers in the same availability zone.
+const evidencePath = "/evidence"
+
+// maxEvidenceBytes bounds the evidence of a peer.
+const maxEvidenceBytes = 1 << 20
+
+// pass gives evidence to the instance that publishes it.
+func (p *peers) pass(ctx context.Context, addr string, reports []kcgate.Report) bool {
+	raw, err := json.Marshal(reports)
+	if err != nil {
+		p.e.Log.Error("evidence not passed on", "error", err)
+		return false
+	}
+	ctx, cancel := kcclock.WithTimeout(ctx, kcclock.Boot{}, passMs)
+	defer cancel()
+	resp, err := p.e.storePool.Do(ctx, addr, &kcconn.Request{
+		Method: http.MethodPost, Target: evidencePath, Host: addr, Header: http.Header{}, Body: raw,
+	})
+	if err != nil {
+		p.e.Log.Warn("evidence not passed on", "peer", addr, "error", err)
+		return false
+	}
+	resp.Finish()
+	return resp.StatusCode == http.StatusNoContent
+}
+
+// take accepts the evidence of a peer.
+func (p *peers) take(w http.ResponseWriter, r *http.Request) {
+	var reports []kcgate.Report
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEvidenceBytes)).Decode(&reports); err != nil {
+		p.e.Log.Warn("evidence ignored", "peer", r.RemoteAddr, "error", err)
+		http.Error(w, "no evidence: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, report := range reports {
+		p.e.gate.Orders.Relay(report)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // apply takes entries of the list of instances.
 func (p *peers) apply(records []kcfeed.Record, whole, _ bool) {
 	p.mu.Lock()
@@ -188,6 +275,7 @@
 			p.e.metrics.Count("peers.badMessage")
 			continue
 		}
+		p.note(m.Instance)
 		p.e.gate.Upstreams.SetPeer(m)
 	}
 }
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -19,17 +19,21 @@
 
 // Record is one value of a key.
 type Record struct {
-	Key string
+	Key string `json:"key"`
 	// Value is empty if the key was removed.
-	Value  []byte
-	Offset int64
+	Value  []byte `json:"value,omitempty"`
+	Offset int64  `json:"offset"`
 }
 
 // Page is the result of a read.
 type Page struct {
 	Records []Record
-	// End is the offset of the next record that will be written.
+	// End is the offset from which to read on.
 	End int64
+	// AgeMs is how old the answer was when it was given: 0 from the store.
+	AgeMs kcclock.Millis
+	// WaitedMs is the time for which an empty answer was held back.
+	WaitedMs kcclock.Millis
 }
 
 // Reader reads one topic.
@@ -65,6 +69,7 @@
 	// confirmed is the time up to which all records are known, 0 for never.
 	confirmed atomic.Int64
 	end       atomic.Int64
+	kept      recent
 }
 
 // New returns a follower that has read nothing.
@@ -142,12 +147,27 @@
 	if whole || len(page.Records) > 0 {
 		f.opts.Apply(page.Records, whole, lapsed)
 	}
+	if whole {
+		f.kept.reset(page.End)
+	} else {
+		f.kept.add(page.Records, page.End)
+	}
 	f.end.Store(page.End)
-	// The store held an empty answer for the whole wait, so nothing was
-	// written in that time.
-	if !whole && len(page.Records) == 0 && f.opts.Clock.Now()-asked >= f.opts.WaitMs {
-		asked += f.opts.WaitMs
+	// An empty answer was held back for the whole wait, so nothing was written
+	// in that time.
+	if !whole && len(page.Records) == 0 && f.opts.Clock.Now()-asked >= page.WaitedMs {
+		asked += page.WaitedMs
 	}
-	f.confirmed.Store(int64(asked))
+	f.confirm(asked - page.AgeMs)
 	return len(page.Records), nil
 }
+
+// confirm moves the time up to which all records are known. It never goes back.
+func (f *Follower) confirm(at kcclock.Millis) {
+	for {
+		old := f.confirmed.Load()
+		if int64(at) <= old || f.confirmed.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -37,6 +37,8 @@
 	detector  *kcrollout.Detector
 	// suspect is set once the evidence speaks against the target.
 	suspect bool
+	// relayed holds the instances whose evidence this one publishes.
+	relayed kcset.Set[string]
 	// changed counts the events since evidence was last published, bad those
 	// that speak against the target.
 	changed, bad int
@@ -271,6 +273,8 @@
 	Service  string     `json:"service"`
 	Order    int64      `json:"order"`
 	Counts   []ArmCount `json:"counts"`
+	// News is true if there are new answers that speak against the target.
+	News bool `json:"news,omitempty"`
 }
 
 // OpenOrder is an order without a final state.
@@ -301,20 +305,46 @@
 	return out
 }
 
-// TakeReport returns the evidence of this instance for a service.
-func (o *Orders) TakeReport(service string) (Report, bool) {
+// TakeReports returns the evidence of this instance and of those that it
+// publishes for.
+func (o *Orders) TakeReports(service string) []Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.services[service]
 	if s == nil || s.evidence == nil {
-		return Report{}, false
+		return nil
 	}
 	s.changed, s.bad = 0, 0
-	r := Report{Instance: o.opts.Deployment.Instance, Service: service, Order: s.order.Offset}
-	for arm, t := range s.evidence.Own(o.opts.Deployment.Instance) {
-		r.Counts = append(r.Counts, ArmCount{Arm: arm, Tally: t})
+	var out []Report
+	for _, instance := range append(kcset.Sorted(s.relayed), o.opts.Deployment.Instance) {
+		r := Report{Instance: instance, Service: service, Order: s.order.Offset}
+		for arm, t := range s.evidence.Own(instance) {
+			r.Counts = append(r.Counts, ArmCount{Arm: arm, Tally: t})
+		}
+		if len(r.Counts) > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Relay takes the evidence of an instance that this one publishes for.
+func (o *Orders) Relay(r Report) {
+	o.Merge(r)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.services[r.Service]
+	if s == nil || s.evidence == nil || s.order.Offset != r.Order {
+		return
+	}
+	if s.relayed == nil {
+		s.relayed = kcset.New[string]()
+	}
+	s.relayed.Add(r.Instance)
+	s.changed++
+	if r.News {
+		s.bad++
 	}
-	return r, len(r.Counts) > 0
 }
 
 // Merge takes the evidence of another instance.
