kcedge: Keep instances beside the state of orders; read from peers that can read

Change: entries share the topic of the orders and are written only if they changed; messages tell whether their sender can read the store.

--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -74,9 +74,16 @@
 	}
 }
 
-// applyProgress takes the published states of orders.
-func (e *Edge) applyProgress(records []kcfeed.Record, _, _ bool) {
+// applyProgress takes the published states of orders and the entries of
+// instances.
+func (e *Edge) applyProgress(records []kcfeed.Record, whole, _ bool) {
+	var instances []kcfeed.Record
 	for _, r := range records {
+		if name, ok := kcplatform.InstanceName(r.Key); ok {
+			r.Key = name
+			instances = append(instances, r)
+			continue
+		}
 		if len(r.Value) == 0 || !kcplatform.IsOrder(r.Key) {
 			continue
 		}
@@ -89,4 +96,7 @@
 			e.Log.Info("state of an order", "service", p.Service, "target", p.Target, "stage", p.Stage, "step", p.Step, "offset", r.Offset)
 		}
 	}
+	if whole || len(instances) > 0 {
+		e.peers.apply(instances, whole)
+	}
 }
--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -59,6 +59,9 @@
 	upstreamPauseMs = 400 * kcclock.Millisecond
 	// progressWaitMs is how long a read of the state of orders waits.
 	progressWaitMs = 2500 * kcclock.Millisecond
+	// progressPauseMs lets the entries of many instances that start be read
+	// together.
+	progressPauseMs = 150 * kcclock.Millisecond
 	// callMs bounds a call of the store: it takes 4 ms, and 350 ms on the
 	// slowest days that were announced.
 	callMs = 1200 * kcclock.Millisecond
@@ -68,7 +71,7 @@
 	// shortest time in which a removed key must not work.
 	peerSlackMs = 700 * kcclock.Millisecond
 	// directMs is how long the store is read directly after that.
-	directMs = 3000 * kcclock.Millisecond
+	directMs = 1500 * kcclock.Millisecond
 	// sweepMs is the time between sweeps of idle connections.
 	sweepMs = 500 * kcclock.Millisecond
 	// memoryPart is the part of the memory limit at which the garbage
@@ -90,7 +93,6 @@
 	config    *kcfeed.Follower
 	upstreams *kcfeed.Follower
 	progress  *kcfeed.Follower
-	instances *kcfeed.Follower
 	peers     *peers
 	orders    *orderKeeper
 }
@@ -120,8 +122,7 @@
 	}
 	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, e.applyOperator)
 	e.upstreams = follow(kcplatform.TopicUpstreams, upstreamWaitMs, upstreamPauseMs, e.applyUpstreams)
-	e.progress = follow(kcplatform.TopicProgress, progressWaitMs, 0, e.applyProgress)
-	e.instances = follow(kcplatform.TopicInstances, peerWaitMs, peerPauseMs, e.peers.apply)
+	e.progress = follow(kcplatform.TopicProgress, progressWaitMs, progressPauseMs, e.applyProgress)
 	e.gate = kcgate.New(kcgate.Options{
 		Deployment: opts.Deployment, Codec: kcplatform.Codec{}, Pool: e.pool, Clock: clock, Wall: kcclock.System{},
 		Log: opts.Log, Metrics: e.metrics, ConfigAge: e.config.Age, ProgressAge: e.progress.Age,
@@ -143,6 +144,7 @@
 	if err != nil {
 		e.metrics.Count("store.failed." + name)
 	}
+	e.peers.storeCalled(err)
 }
 
 // task is a part of the instance that runs until its context ends.
@@ -172,7 +174,7 @@
 	ended := make(chan string)
 	tasks := []task{
 		{"config", e.config.Run}, {"upstreams", e.upstreams.Run}, {"progress", e.progress.Run},
-		{"orders", e.orders.run}, {"instances", e.instances.Run}, {"tell", e.peers.tell}, {"hear", e.peers.hear},
+		{"orders", e.orders.run}, {"tell", e.peers.tell}, {"hear", e.peers.hear},
 		{"sweep", e.sweep}, {"reload", e.reload},
 	}
 	for _, t := range tasks {
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -32,11 +33,11 @@
 	readerMs = 1200 * kcclock.Millisecond
 	// passMs bounds a call of a peer in the same availability zone.
 	passMs = 300 * kcclock.Millisecond
-	// peerWaitMs is how long a read of the list of instances waits: the longest
-	// time that the store allows.
-	peerWaitMs = 30_000 * kcclock.Millisecond
-	// peerPauseMs lets the instances of a start be read together.
-	peerPauseMs = 1000 * kcclock.Millisecond
+	// failMs is how long an instance whose call of the store failed does not
+	// read for others.
+	failMs = 3000 * kcclock.Millisecond
+	// enterMs is how long an instance waits for the list before it enters.
+	enterMs = 1000 * kcclock.Millisecond
 )
 
 // peerEntry is the entry of an instance in the list that instances share.
@@ -53,9 +54,18 @@
 	// ln takes reads of peers in the same availability zone.
 	ln net.Listener
 
-	mu    sync.Mutex
-	list  map[string]peerEntry
+	mu   sync.Mutex
+	list map[string]peerEntry
+	// heard holds the time of the last message, from instances that can read
+	// the store only.
 	heard map[string]kcclock.Millis
+	// own is the entry of this instance in the list, and known is true once
+	// the list was read.
+	own   peerEntry
+	known bool
+	// failedAt is the time of the last failed call of the store, 0 after one
+	// that was answered.
+	failedAt kcclock.Millis
 }
 
 func newPeers(e *Edge) *peers {
@@ -84,9 +94,12 @@
 func (p *peers) reader() (string, bool) {
 	now := kcclock.Boot{}.Now()
 	own := p.e.Deployment
-	best, most := "", kcset.RendezvousHash(own.Zone, own.Instance)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	best, most := "", uint64(0)
+	if !p.failing(now) {
+		most = kcset.RendezvousHash(own.Zone, own.Instance)
+	}
 	for name, entry := range p.list {
 		if entry.Zone != own.Zone || now-p.heard[name] > readerMs {
 			continue
@@ -98,14 +111,41 @@
 	return best, best != ""
 }
 
-func (p *peers) note(instance string) {
+// note takes the sign of life of a peer.
+func (p *peers) note(m kcload.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, known := p.list[instance]; known {
-		p.heard[instance] = kcclock.Boot{}.Now()
+	if _, known := p.list[m.Instance]; known && m.Reads {
+		p.heard[m.Instance] = kcclock.Boot{}.Now()
+	} else if known {
+		delete(p.heard, m.Instance)
 	}
 }
 
+// storeCalled notes the result of a call of the store.
+func (p *peers) storeCalled(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil || kcplatform.IsConflict(err) || errors.Is(err, kcfeed.ErrTrimmed):
+		p.failedAt = 0
+	case errors.Is(err, context.Canceled):
+	default:
+		p.failedAt = kcclock.Boot{}.Now()
+	}
+}
+
+func (p *peers) failing(now kcclock.Millis) bool { return p.failedAt != 0 && now-p.failedAt < failMs }
+
+// reads reports whether this instance can read the store for others.
+func (p *peers) reads() bool {
+	now := kcclock.Boot{}.Now()
+	age, known := p.e.config.Age(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return known && age < configWaitMs+peerSlackMs && !p.failing(now)
+}
+
 // evidencePath takes the evidence of peers in the same availability zone.
 const evidencePath = "/evidence"
 
@@ -147,11 +187,13 @@
 }
 
 // apply takes entries of the list of instances.
-func (p *peers) apply(records []kcfeed.Record, whole, _ bool) {
+func (p *peers) apply(records []kcfeed.Record, whole bool) {
+	now := kcclock.Boot{}.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if whole {
 		clear(p.list)
+		p.known = true
 	}
 	for _, r := range records {
 		if len(r.Value) == 0 {
@@ -163,8 +205,13 @@
 			p.e.Log.Warn("instance ignored", "instance", r.Key, "offset", r.Offset, "error", err)
 			continue
 		}
-		if r.Key != p.e.Deployment.Instance && entry.Region == p.e.Deployment.Region {
+		switch {
+		case r.Key == p.e.Deployment.Instance:
+			p.own = entry
+		case entry.Region == p.e.Deployment.Region:
 			p.list[r.Key] = entry
+			// A peer that does not answer is left at the first call.
+			p.heard[r.Key] = now
 		}
 	}
 	p.e.Log.Info("list of instances read", "instances", len(p.list))
@@ -192,16 +239,32 @@
 		return
 	}
 	d := p.e.Deployment
-	raw, err := json.Marshal(peerEntry{Zone: d.Zone, Region: d.Region, Address: addr})
+	entry := peerEntry{Zone: d.Zone, Region: d.Region, Address: addr}
+	raw, err := json.Marshal(entry)
 	if err != nil {
 		p.e.Log.Error("entry of the instance not written", "error", err)
 		return
 	}
+	clock := kcclock.Boot{}
+	for until := clock.Now() + enterMs; clock.Now() < until && ctx.Err() == nil; {
+		if p.entered(entry) {
+			return
+		}
+		_ = kcclock.Wait(ctx, clock, tellMs)
+	}
 	for ctx.Err() == nil && !p.write(ctx, raw) {
-		_ = kcclock.Wait(ctx, kcclock.Boot{}, 2*kcclock.Second)
+		_ = kcclock.Wait(ctx, clock, failMs)
 	}
 }
 
+// entered reports whether the list holds the entry of this instance already,
+// from a time before a restart.
+func (p *peers) entered(entry peerEntry) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known && p.own == entry
+}
+
 func (p *peers) leave() {
 	if p.conn != nil {
 		p.write(context.Background(), nil)
@@ -211,7 +274,7 @@
 func (p *peers) write(ctx context.Context, raw []byte) bool {
 	ctx, cancel := kcclock.WithTimeout(ctx, kcclock.Boot{}, callMs)
 	defer cancel()
-	err := p.e.store.SetKey(ctx, kcplatform.TopicInstances, p.e.Deployment.Instance, raw)
+	err := p.e.store.SetKey(ctx, kcplatform.TopicProgress, kcplatform.InstanceKey(p.e.Deployment.Instance), raw)
 	if err != nil {
 		p.e.Log.Warn("call of the store failed", "call", "write instance", "error", err)
 	}
@@ -224,13 +287,18 @@
 		<-ctx.Done()
 		return
 	}
-	p.enter(ctx)
+	entering := make(chan struct{})
+	defer func() { <-entering }()
+	go func() {
+		defer close(entering)
+		p.enter(ctx)
+	}()
 	clock := kcclock.Boot{}
 	seq := uint64(time.Now().UnixMilli()) << 16
 	last, lastAt, farAt := "", kcclock.Millis(0), kcclock.Millis(0)
 	for kcclock.Wait(ctx, clock, tellMs) == nil {
 		now := clock.Now()
-		m := kcload.Message{Instance: p.e.Deployment.Instance, Shares: p.e.gate.Upstreams.Shares()}
+		m := kcload.Message{Instance: p.e.Deployment.Instance, Reads: p.reads(), Shares: p.e.gate.Upstreams.Shares()}
 		state := string(kcload.Encode(m))
 		if state == last && now-lastAt < stillMs {
 			continue
@@ -275,7 +343,7 @@
 			p.e.metrics.Count("peers.badMessage")
 			continue
 		}
-		p.note(m.Instance)
+		p.note(m)
 		p.e.gate.Upstreams.SetPeer(m)
 	}
 }
--- a/internal/kcload/kcload.go
+++ b/internal/kcload/kcload.go
@@ -24,7 +24,9 @@
 	Instance string
 	// Seq orders the messages of an instance. It starts at the time of its
 	// start, so that it goes on after a restart.
-	Seq    uint64
+	Seq uint64
+	// Reads is true if the instance can read the store for others.
+	Reads  bool
 	Shares []Share
 }
 
@@ -43,6 +45,7 @@
 	b := []byte{format}
 	b = appendString(b, m.Instance)
 	b = binary.AppendUvarint(b, m.Seq)
+	b = binary.AppendUvarint(b, flags(m))
 	for _, s := range m.Shares {
 		next := appendString(b, s.Upstream)
 		next = binary.AppendUvarint(next, uint64(max(s.WorkMs, 0)))
@@ -55,6 +58,15 @@
 	return b
 }
 
+const readsFlag = 1
+
+func flags(m Message) uint64 {
+	if m.Reads {
+		return readsFlag
+	}
+	return 0
+}
+
 func appendString(b []byte, s string) []byte {
 	s = s[:min(len(s), maxName)]
 	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
@@ -71,6 +83,7 @@
 	d := decoder{b: b[1:]}
 	m.Instance = d.string()
 	m.Seq = d.number()
+	m.Reads = d.number()&readsFlag != 0
 	for len(d.b) > 0 && d.err == nil && len(m.Shares) < maxShares {
 		s := Share{Upstream: d.string()}
 		s.WorkMs, s.Running = int(d.number()&maxNumber), int(d.number()&maxNumber)
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -14,6 +14,7 @@
 func TestRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := kcload.Message{Instance: rapid.StringN(1, 20, 60).Draw(t, "name"), Seq: rapid.Uint64().Draw(t, "seq")}
+		m.Reads = rapid.Bool().Draw(t, "reads")
 		for range rapid.IntRange(0, 20).Draw(t, "shares") {
 			m.Shares = append(m.Shares, kcload.Share{
 				Upstream: rapid.StringN(0, 12, 24).Draw(t, "upstream"),
