--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -31,6 +31,9 @@
 	// 0 serves none.
 	MetricsPort int
 	Log         *slog.Logger
+	// Listening, if set, is told the addresses, which differ from those of the
+	// deployment if that states port 0.
+	Listening func(callers, ready string)
 	// Reload gets a value when the settings should be read again.
 	Reload <-chan struct{}
 }
@@ -168,6 +171,9 @@
 		return errs.New("listen for readiness checks: %v", err)
 	}
 	e.Log.Info("start", "instance", d.Instance, "zone", d.Zone, "callers", d.CallerAddr, "store", d.StoreAddr)
+	if e.Listening != nil {
+		e.Listening(front.Addr().String(), ready.Addr().String())
+	}
 	e.peers.listen()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- /dev/null
+++ b/internal/kcedge/edge_test.go
@@ -0,0 +1,158 @@
+package kcedge_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcedge"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+)
+
+const config = `{"version":%V,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","type":"idempotent","service":"x",
+"timeout_ms":5000,"slo_ms":300,"max_attempts":2}],"services":[{"name":"x","max_conns":9}],
+"limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":[%K]}]}`
+
+func configOf(version, keys string) string {
+	return strings.NewReplacer("%V", version, "%K", keys).Replace(config)
+}
+
+// path is the whole path: an instance, a store and an upstream.
+type path struct {
+	store *store
+	front string
+	ready string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// until waits for something that another goroutine does. The test fails by its
+// own time limit if that never happens.
+func until(done func() bool) {
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !done() {
+		<-tick.C
+	}
+}
+
+func newPath(t *testing.T) *path {
+	t.Helper()
+	upstream := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Stamp", "s")
+		_, _ = io.WriteString(w, r.Header.Get("Expect-Instance"))
+	}))
+	p := &path{store: newStore(t), done: make(chan error, 1)}
+	p.store.put("keyed.servers", "u1", `{"service":"x","address":"`+upstream+`","zone":"z","version":"v1","slots":4,"state":"ready","born":1}`)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	listening := make(chan struct{})
+	edge := kcedge.New(kcedge.Options{
+		Log: slog.New(slog.DiscardHandler),
+		Listening: func(callers, ready string) {
+			p.front, p.ready = callers, ready
+			close(listening)
+		},
+		Deployment: kctable.Deployment{
+			Instance: "i", Zone: "z", Region: "r", Regions: map[string]string{"z": "r"}, IP: "127.0.0.1",
+			CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", StoreAddr: p.store.addr, PeerAddr: "127.0.0.1:0",
+			Bounds: kctable.Bounds{StrictRevoke: true, RevokeMs: 5000, GraceMs: 2000, RetryRatio: 0.9, SessionMs: 5000},
+		},
+	})
+	go func() { p.done <- edge.Run(ctx) }()
+	<-listening
+	t.Cleanup(func() { cancel(); <-p.done })
+	return p
+}
+
+func (p *path) get(t *testing.T, addr, path, key string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", "q")
+	req.Header.Set("Api-Key", key)
+	tr := &http.Transport{DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: tr}).Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	body, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode, string(body)
+}
+
+// eventually waits until a request gets a status.
+func (p *path) eventually(t *testing.T, addr, path, key string, want int) {
+	t.Helper()
+	until(func() bool {
+		got, _ := p.get(t, addr, path, key)
+		return got == want
+	})
+}
+
+// Guards against an instance that serves before it knows the configuration,
+// answers with another status than 503 then, ignores a removed key or a
+// leaving upstream, or forgets its entry.
+func TestWholePath(t *testing.T) {
+	p := newPath(t)
+	p.eventually(t, p.front, "/a/b", "k1", http.StatusServiceUnavailable)
+	if got, _ := p.get(t, p.ready, "/readyz", ""); got != http.StatusServiceUnavailable {
+		t.Errorf("readiness without a configuration: %d", got)
+	}
+	p.store.put("keyed.op", "config", configOf("3", `"k1","k2"`))
+	p.eventually(t, p.ready, "/readyz", "", http.StatusOK)
+	if got, body := p.get(t, p.front, "/a/b", "k1"); got != http.StatusOK || body != "u1" {
+		t.Errorf("%d %q", got, body)
+	}
+	p.store.put("keyed.op", "config", configOf("5", `"k2"`))
+	p.eventually(t, p.front, "/a/b", "k1", http.StatusUnauthorized)
+	p.eventually(t, p.front, "/a/b", "k2", http.StatusOK)
+	p.store.put("keyed.op", "config", configOf("4", `"k1"`))
+	p.store.put("keyed.servers", "u1", "")
+	p.eventually(t, p.front, "/a/b", "k2", http.StatusServiceUnavailable)
+	if got, _ := p.get(t, p.front, "/a/b", "k1"); got != http.StatusUnauthorized {
+		t.Errorf("an older configuration came into force: %d", got)
+	}
+	until(func() bool { return p.store.latest("keyed.status", "instance/i") != "" })
+	p.stop()
+	if err := <-p.done; err != nil {
+		t.Error(err)
+	}
+	p.done <- nil
+	if got := p.store.latest("keyed.status", "instance/i"); got != "" {
+		t.Errorf("the entry %s is left behind", got)
+	}
+}
+
+// Guards against a key that works although the store cannot be asked whether
+// it was removed.
+func TestKeysEndWithoutTheStore(t *testing.T) {
+	p := newPath(t)
+	p.store.put("keyed.op", "config", configOf("3", `"k1"`))
+	p.eventually(t, p.front, "/a/b", "k1", http.StatusOK)
+	p.store.setDown(true)
+	p.eventually(t, p.front, "/a/b", "k1", http.StatusServiceUnavailable)
+	p.eventually(t, p.ready, "/readyz", "", http.StatusServiceUnavailable)
+	p.store.setDown(false)
+	p.eventually(t, p.front, "/a/b", "k1", http.StatusOK)
+}
+
+// Guards against an order that is not concluded, and against a state that the
+// operator cannot read.
+func TestOrderIsPublished(t *testing.T) {
+	p := newPath(t)
+	p.store.put("keyed.op", "config", configOf("3", `"k1"`))
+	p.eventually(t, p.front, "/a/b", "k1", http.StatusOK)
+	p.store.put("keyed.op", "rollout/x", `{"service":"x","target":"v2","deadline_s":2}`)
+	for want := range strings.SplitSeq(`"state":"running","target":"v2" "state":"reverted","target":"v2"`, " ") {
+		until(func() bool { return strings.Contains(p.store.latest("keyed.status", "rollout/x"), want) })
+	}
+}
