kcgate, kcrollout: Count a crash once; avoid upstreams that fail a part of their requests

A quarter of the upstreams crash there and some fail a third of their requests; the canary has one or two upstreams in an availability zone, so the evidence of one instance can be enough to suspect the target, and then its sessions went back to the old version at that instance alone. Change: in touch only the judge stops an order, with the evidence of all. Answers that one upstream breaks off within two seconds count once. The share of failures of an upstream above that of the others is a price in its placement, which fades in seconds.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -200,6 +200,7 @@
 		resp.Abort()
 		end(ran, "weak")
 		x.g.Upstreams.release(c, good)
+		x.g.Upstreams.answered(c, false)
 		x.count(c, false)
 		x.g.Metrics.Count("cascade.escalated")
 		return escalate
@@ -220,6 +221,7 @@
 		x.g.Upstreams.release(c, neutral)
 	default:
 		x.g.Upstreams.release(c, failed)
+		x.g.Upstreams.answered(c, true)
 	}
 	if !sent {
 		end(notSent, err.Error())
@@ -229,7 +231,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Slow, true)
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && x.g.Upstreams.broke(c):
 		x.count(c, true)
 	}
 	return lost
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -28,6 +28,7 @@
 		x.releaseBroken(ctx, c)
 		return lost
 	}
+	x.g.Upstreams.answered(c, isFailure(resp.StatusCode))
 	if isFailure(resp.StatusCode) {
 		end(ran, itoa(resp.StatusCode))
 		x.g.Upstreams.release(c, neutral)
@@ -91,7 +92,10 @@
 		return
 	}
 	x.g.Upstreams.release(c, failed)
-	x.count(c, true)
+	x.g.Upstreams.answered(c, true)
+	if x.g.Upstreams.broke(c) {
+		x.count(c, true)
+	}
 }
 
 // gapPart is the number of permitted pauses after which a stream without
@@ -119,6 +123,7 @@
 	case broken == nil:
 		end(ran, "events="+itoa(x.events))
 		x.g.Upstreams.release(c, good)
+		x.g.Upstreams.answered(c, false)
 		x.count(c, false)
 		return answered
 	case x.r.Context().Err() != nil:
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -25,6 +25,21 @@
 	// fullMs is how long an upstream that said it was full counts as full if
 	// it does not report its load.
 	fullMs = 250 * kcclock.Millisecond
+	// crashMs is the time within which broken answers of one upstream count as
+	// one crash. Crashed upstreams are down for about as long.
+	crashMs = 2000 * kcclock.Millisecond
+	// failurePart is the weight of an answer in the share of failures: one
+	// third of the answers fail at an upstream that is half broken, which shows
+	// after some five answers.
+	failurePart = 0.1
+	// failureSlack is the share above that of the others which is chance, and
+	// failureMs the price of a sure failure: about the time after which a
+	// caller has the answer of another try.
+	failureSlack = 0.1
+	failureMs    = 3000
+	// failureHalfMs is the time in which the share fades to a half: grey
+	// upstreams were seen to stay so for five to ten seconds.
+	failureHalfMs = 4000 * kcclock.Millisecond
 	// lapsedMs is the time after the return of the store within which live
 	// upstreams whose entries lapsed meanwhile register again.
 	lapsedMs = 2000 * kcclock.Millisecond
@@ -54,6 +69,13 @@
 	// aliveAt is when the upstream last sent anything, or when the oldest
 	// running request was sent if that is later.
 	aliveAt atomic.Int64
+	// failures is the moving share of answers with an error of the upstream, as
+	// of failuresAt. Without answers it fades, so that the upstream is tried
+	// again.
+	failures   float64
+	failuresAt kcclock.Millis
+	// brokeAt is when a connection to it last broke off.
+	brokeAt kcclock.Millis
 	// goneAt is set for entries that lapsed while the store was away.
 	goneAt kcclock.Millis
 }
@@ -247,6 +269,7 @@
 			OwnMs: l.readMs(w.prompt, u, u == home), FarMs: l.farMs(u), HoldMs: w.holdMs, PerRequestMs: perRequestMs,
 		}
 	}
+	addFailures(now, workers, list)
 	i := kcroute.PlaceByWork(workers)
 	if i < 0 {
 		return nil, false
@@ -264,6 +287,37 @@
 	}, true
 }
 
+// addFailures adds the price of upstreams that fail more often than the others,
+// although they are healthy by what they say.
+func addFailures(now kcclock.Millis, workers []kcroute.Worker, list []*upstream) {
+	usual := 0.0
+	for _, u := range list {
+		usual += u.failing(now) / float64(len(list))
+	}
+	for i, u := range list {
+		if over := u.failing(now) - usual - failureSlack; over > 0 {
+			workers[i].FarMs += failureMs * over
+		}
+	}
+}
+
+// answered notes whether an answer was an error of the upstream.
+func (l *Upstreams) answered(c *choice, failure bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now, value := l.clock.Now(), 0.0
+	if failure {
+		value = 1
+	}
+	f := c.u.failing(now)
+	c.u.failures, c.u.failuresAt = f+failurePart*(value-f), now
+}
+
+// failing returns the share of failures at a time.
+func (u *upstream) failing(now kcclock.Millis) float64 {
+	return u.failures * math.Exp2(-float64(now-u.failuresAt)/float64(failureHalfMs))
+}
+
 // home returns the upstream at which all instances of an availability zone
 // expect the shared parts of a prompt, unless it is busy.
 func (l *Upstreams) home(w want, list []*upstream) *upstream {
@@ -310,6 +364,18 @@
 	return l.clock.Now() - kcclock.Millis(c.u.aliveAt.Load())
 }
 
+// broke notes that the upstream broke off an answer and reports whether that
+// tells something about its version: a crash breaks off all answers of an
+// upstream at once and counts as one.
+func (l *Upstreams) broke(c *choice) bool {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := c.u.brokeAt == 0 || now-c.u.brokeAt >= crashMs
+	c.u.brokeAt = now
+	return first
+}
+
 // narrow leaves the upstreams of the part that gets requests, the same ones at
 // all instances and some in each availability zone.
 func (w want) narrow(list []*upstream) []*upstream {
--- a/internal/kcgate/upstreams_test.go
+++ b/internal/kcgate/upstreams_test.go
@@ -1,6 +1,7 @@
 package kcgate
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -82,3 +83,60 @@
 		t.Error("a leaving upstream got a request")
 	}
 }
+
+// Guards against a crash of one upstream that is taken for many bad answers of
+// its version.
+func TestCrashCountsOnce(t *testing.T) {
+	clock := kcclock.NewManual(1000)
+	l := NewUpstreams(clock, "z", nil)
+	l.Replace(list(1, "z"), false)
+	counted := 0
+	for range 20 {
+		c, ok := l.take(want{service: "s", version: anyVersion})
+		if ok && l.broke(c) {
+			counted++
+		}
+		clock.Advance(10)
+	}
+	if counted != 1 {
+		t.Errorf("%d broken answers count, want 1", counted)
+	}
+	clock.Advance(crashMs)
+	c, _ := l.take(want{service: "s", version: anyVersion})
+	if !l.broke(c) {
+		t.Error("a broken answer after the crash does not count")
+	}
+}
+
+// Guards against an upstream that fails a part of its requests and goes on
+// getting its share of them, and against one that is left for the errors that
+// all upstreams make.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	for name, c := range map[string]struct {
+		bad, others float64
+		least, most int
+	}{
+		"one fails 40%": {bad: 0.4, others: 0, least: 0, most: 40},
+		"all fail 14%":  {bad: 0.14, others: 0.14, least: 80, most: 220},
+	} {
+		rnd := rand.New(rand.NewPCG(5, 5))
+		clock := kcclock.NewManual(1000)
+		l := NewUpstreams(clock, "z", nil)
+		l.Replace(list(4, "z"), false)
+		got := 0
+		for range 600 {
+			clock.Advance(20)
+			u, _ := l.take(want{service: "s", version: anyVersion})
+			p := c.others
+			if u.ID == "z0" {
+				got++
+				p = c.bad
+			}
+			l.answered(u, rnd.Float64() < p)
+			l.release(u, good)
+		}
+		if got < c.least || got > c.most {
+			t.Errorf("%s: %d of 600 requests, want %d to %d", name, got, c.least, c.most)
+		}
+	}
+}
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -45,7 +45,8 @@
 	// InTouch is true while the published state is known to be the newest.
 	InTouch bool
 	// Suspect is true if the evidence of this instance speaks against the
-	// target.
+	// target. In touch, the judge decides with the evidence of all: a few
+	// answers of one upstream must not move the sessions of one instance.
 	Suspect bool
 	// ExposureShare bounds the part of the requests that a bad target may get.
 	ExposureShare float64
@@ -88,7 +89,7 @@
 	switch {
 	case v.Progress.Stage == kctable.Complete:
 		return Decision{Share: 1, Move: true, Only: true}
-	case v.Progress.Stage == kctable.Reverted || v.Suspect:
+	case v.Progress.Stage == kctable.Reverted || v.Suspect && !v.InTouch:
 		return Decision{Never: true}
 	case v.Progress.Step == 0 || !v.InTouch:
 		// Out of touch, a stop that was published would not be known.
--- a/internal/kcrollout/order_test.go
+++ b/internal/kcrollout/order_test.go
@@ -156,6 +156,15 @@
 	if d := kcrollout.Decide(v); d.Share != 1 || !d.Move || d.Only {
 		t.Errorf("in touch: %+v, want all requests", d)
 	}
+	v.Suspect = true
+	if d := kcrollout.Decide(v); d.Never {
+		t.Errorf("in touch with evidence of its own: %+v, the judge decides", d)
+	}
+	v.InTouch = false
+	if d := kcrollout.Decide(v); !d.Never {
+		t.Errorf("out of touch with evidence of its own: %+v, want no request", d)
+	}
+	v.Suspect, v.InTouch = false, true
 	v.Progress.Stage = kctable.Reverted
 	if d := kcrollout.Decide(v); !d.Never {
 		t.Errorf("reverted: %+v, want no request", d)
