kcrollout: Stay at the known step of an order when out of touch

What an instance knows through a peer can be 3.5 s old and more on a busy machine; at 4 s it went back to the first step and so to the old version, while others served the same sessions with the target. Change: out of touch an instance keeps the step that it knows. In the last step only strong evidence holds back the end.

--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -30,9 +30,14 @@
 	minEvidence = 20
 )
 
-// maxDoubt is the evidence against a target up to which its share is raised.
-// A good version exceeds it at most once in four orders; it then only waits.
-var maxDoubt = math.Log(4)
+// maxDoubt is the evidence against a target up to which it gets all requests. A
+// good version exceeds it at most once in four orders; it then only waits.
+// finishDoubt is the same for the end of the order: to hold back an order in
+// its last step leaves the old upstreams idle and the order undone.
+var (
+	maxDoubt    = math.Log(4)
+	finishDoubt = math.Log(50)
+)
 
 // OrderView is what the stage of an order depends on.
 type OrderView struct {
@@ -42,7 +47,7 @@
 	Known    bool
 	// Elapsed is the time since the start of the order.
 	Elapsed kcclock.Millis
-	// InTouch is true while the published state is known to be the newest.
+	// InTouch is true while the published state is known to be recent.
 	InTouch bool
 	// Suspect is true if the evidence of this instance speaks against the
 	// target. In touch, the judge decides with the evidence of all: a few
@@ -91,10 +96,12 @@
 		return Decision{Share: 1, Move: true, Only: true}
 	case v.Progress.Stage == kctable.Reverted || v.Suspect && !v.InTouch:
 		return Decision{Never: true}
-	case v.Progress.Step == 0 || !v.InTouch:
-		// Out of touch, a stop that was published would not be known.
+	case v.Progress.Step == 0:
 		return Decision{Share: v.canary()}
 	}
+	// An instance that lost touch stays at the step that it knows: to go back
+	// would move sessions to the old version while the others serve them with
+	// the new one.
 	return Decision{Share: 1, Move: true}
 }
 
@@ -107,7 +114,11 @@
 		return next, true
 	}
 	_, doubt := d.Doubt()
-	sure := doubt < maxDoubt && d.Seen()[Failure].Total >= minEvidence
+	limit := maxDoubt
+	if v.Progress.Step > 0 {
+		limit = finishDoubt
+	}
+	sure := doubt < limit && d.Seen()[Failure].Total >= minEvidence
 	const finish = 1 - publishPart
 	switch part := v.part(); {
 	case sure && v.Progress.Step > 0 && part >= finish:
