kcedge, kcgate: Read from another zone of the region; start an order once its target is ready

A zone whose instances are all rejected by the store refused its callers although the next zone could read. The load model showed that 3 ms for each running request outweighs the prompts that wait.

--- a/internal/commands/edge.go
+++ b/internal/commands/edge.go
@@ -52,8 +52,16 @@
 	}()
 	out := newLogWriter(e.stdout)
 	defer out.Close()
-	log := slog.New(slog.NewTextHandler(out, nil))
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{ReplaceAttr: shortError}))
 	return kcedge.New(kcedge.Options{
 		Deployment: d, SettingsPath: path, MetricsPort: c.MetricsPort, Log: log, Reload: reload,
 	}).Run(e.ctx)
 }
+
+// shortError logs an error by its message: the default adds its stack.
+func shortError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -276,7 +276,8 @@
 		}
 		if reason, ok := e.gate.Ready(); reason != was {
 			was = reason
-			e.Log.Info("readiness", "ready", ok, "reason", reason)
+			age, _ := e.config.Age(kcclock.Boot{}.Now())
+			e.Log.Info("readiness", "ready", ok, "reason", reason, "configAgeMs", age)
 		}
 	}
 }
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -15,6 +15,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcgate"
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 	kcplatform "github.com/kingcuprail/kingcuprail/platform"
 )
@@ -88,24 +89,39 @@
 
 func (p *peers) serving() net.Listener { return p.ln }
 
-// reader returns the address of the instance that reads the store for its
-// availability zone: of those that were heard lately and this one, the one with
-// the highest hash. It returns false if that is this instance.
+// reader returns the address of the instance that reads the store for this one.
+// It returns false if that is this instance.
 func (p *peers) reader() (string, bool) {
 	now := kcclock.Boot{}.Now()
-	own := p.e.Deployment
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	heard := make(map[string]peerEntry, len(p.list))
+	for name, entry := range p.list {
+		if now-p.heard[name] <= readerMs {
+			heard[name] = entry
+		}
+	}
+	return chooseReader(p.e.Deployment, heard, p.failing(now))
+}
+
+// chooseReader returns the address of the instance that reads the store for an
+// availability zone: of those that were heard lately and own, the one with the
+// highest hash. Where the store rejects all of a zone, one of another zone of
+// the region reads for it. It returns false if own has to read.
+func chooseReader(own kctable.Deployment, heard map[string]peerEntry, failing bool) (string, bool) {
 	best, most := "", uint64(0)
-	if !p.failing(now) {
+	if !failing {
 		most = kcset.RendezvousHash(own.Zone, own.Instance)
 	}
-	for name, entry := range p.list {
-		if entry.Zone != own.Zone || now-p.heard[name] > readerMs {
+	near := false
+	for name, entry := range heard {
+		isNear := entry.Zone == own.Zone
+		if !isNear && (!failing || near) {
 			continue
 		}
-		if h := kcset.RendezvousHash(own.Zone, name); h > most {
-			best, most = entry.Address.String(), h
+		h := kcset.RendezvousHash(own.Zone, name)
+		if isNear && !near && failing || h > most {
+			best, most, near = entry.Address.String(), h, isNear
 		}
 	}
 	return best, best != ""
--- /dev/null
+++ b/internal/kcedge/peers_test.go
@@ -0,0 +1,57 @@
+package kcedge
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+)
+
+func entryOf(zone, addr string) peerEntry {
+	return peerEntry{Zone: zone, Region: "r", Address: netip.MustParseAddrPort(addr)}
+}
+
+// Guards against instances of an availability zone that choose different
+// readers, and against a zone that has none although one of the region can
+// read: in an incident the store rejected both instances of a zone, and these
+// refused all their callers.
+func TestChooseReader(t *testing.T) {
+	all := map[string]peerEntry{
+		"a1": entryOf("a", "10.0.0.1:1"), "a2": entryOf("a", "10.0.0.2:1"), "a3": entryOf("a", "10.0.0.3:1"),
+		"b1": entryOf("b", "10.0.1.1:1"),
+	}
+	reader := func(own string, failing bool, names ...string) string {
+		heard := map[string]peerEntry{}
+		for _, n := range names {
+			heard[n] = all[n]
+		}
+		d := kctable.Deployment{Instance: own, Zone: all[own].Zone}
+		addr, other := chooseReader(d, heard, failing)
+		if !other {
+			return all[own].Address.String()
+		}
+		return addr
+	}
+	one := reader("a1", false, "a2", "a3", "b1")
+	for own, others := range map[string][]string{"a2": {"a1", "a3", "b1"}, "a3": {"b1", "a2", "a1"}} {
+		if got := reader(own, false, others...); got != one {
+			t.Errorf("%s reads from %s, a1 from %s", own, got, one)
+		}
+	}
+	if one == all["b1"].Address.String() {
+		t.Error("an instance of another availability zone reads although one of its own can")
+	}
+	for _, own := range []string{"a1", "a2", "a3"} {
+		if got := reader(own, true, "b1"); got != all["b1"].Address.String() {
+			t.Errorf("%s, whose zone cannot read, reads from %s", own, got)
+		}
+		if got := reader(own, true); got != all[own].Address.String() {
+			t.Errorf("%s, who hears nobody, reads from %s", own, got)
+		}
+	}
+	for range 20 { // the order of the map must not matter
+		if got := reader("a1", true, "a2", "b1"); got != all["a2"].Address.String() {
+			t.Fatalf("a1 reads from %s although a2 can", got)
+		}
+	}
+}
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -118,13 +118,13 @@
 
 // choose takes an upstream of a version that may run the request.
 func (x *exchange) choose(tried kcset.Set[string], model string) (*choice, bool) {
-	available, first := x.g.Upstreams.versions(x.service)
+	have := x.g.Upstreams.versions(x.service)
 	key := x.ask.Session
 	if key == "" {
 		key = x.ask.ID
 	}
 	return x.g.Upstreams.take(want{
-		service: x.service, version: x.g.Orders.allow(x.service, key, available, first),
+		service: x.service, version: x.g.Orders.allow(x.service, key, have),
 		tried: tried, prompt: x.prompt(model), holdMs: x.holdMs(),
 		part: func(version string) float64 { return x.g.Orders.part(x.service, version) },
 	})
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -203,7 +203,8 @@
 }
 
 // Ready reports whether the instance should get requests, and why not.
-func (g *Gate) Ready() (string, bool) {
+func (g *Gate) Ready() (reason string, ok bool) {
+	_, fresh := g.keysFresh()
 	switch {
 	case g.stop.leaving():
 		return "stopping", false
@@ -211,9 +212,8 @@
 		return "no configuration", false
 	case !g.Upstreams.Known():
 		return "no list of upstreams", false
-	}
-	if age, fresh := g.keysFresh(); !fresh {
-		return "configuration is " + age.Duration().String() + " old", false
+	case !fresh:
+		return "the configuration is too old", false
 	}
 	return "", true
 }
--- a/internal/kcgate/load_test.go
+++ b/internal/kcgate/load_test.go
@@ -64,6 +64,7 @@
 		for i := range loadEngines {
 			ups = append(ups, kctable.Upstream{ID: "e" + string(rune('a'+i)), Service: "s", Zone: "z", Version: "v", Slots: 64})
 		}
+		l.shuffle = rnd.Shuffle
 		l.Replace(ups, false)
 		instances = append(instances, l)
 	}
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -13,6 +13,10 @@
 // It is below the time in which a bad version must be left.
 const touchMs = 4000 * kcclock.Millisecond
 
+// readyPart is the number of times that the target may have fewer upstreams than
+// the other version when it gets its first requests.
+const readyPart = 2
+
 // maxPins bounds the memory for sessions.
 const maxPins = 20_000
 
@@ -33,8 +37,11 @@
 	// seen as it was written.
 	startedAt kcclock.Millis
 	live      bool
-	evidence  *kcrollout.Evidence
-	detector  *kcrollout.Detector
+	// opened is true once the target had enough upstreams. Sessions that it
+	// serves stay, also if some of them crash.
+	opened   bool
+	evidence *kcrollout.Evidence
+	detector *kcrollout.Detector
 	// suspect is set once the evidence speaks against the target.
 	suspect bool
 	// relayed holds the instances whose evidence this one publishes.
@@ -136,14 +143,12 @@
 }
 
 // allow returns which versions of a service may run a request of a session.
-// available are the versions that have upstreams, first the one that was there
-// first.
-func (o *Orders) allow(service, session string, available kcset.Set[string], first string) func(string) bool {
+func (o *Orders) allow(service, session string, have versions) func(string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.services[service]
 	if s == nil || s.order.Offset < 0 && !s.known && s.progress.Target == "" {
-		return o.allowBase(service, available, first)
+		return o.allowBase(service, have)
 	}
 	target := s.order.Target
 	if s.order.Offset < 0 {
@@ -151,16 +156,22 @@
 		return func(v string) bool { return (v != s.progress.Target) || s.progress.Stage == kctable.Complete }
 	}
 	d := kcrollout.Decide(o.view(s))
-	others := len(available)
-	if available.Has(target) {
-		others--
+	targets, others := have.counts[target], 0
+	for v, n := range have.counts {
+		if v != target {
+			others += n
+		}
 	}
 	toTarget := d.Only
 	switch {
-	case d.Only, d.Never || !available.Has(target):
+	case d.Only, d.Never || targets == 0:
 	case others == 0:
 		toTarget = true
+	case !s.opened && targets*readyPart < others:
+		// The target is still starting: a request that fails there would find
+		// no second upstream.
 	default:
+		s.opened = true
 		toTarget = o.forTarget(session, target, d)
 	}
 	return func(v string) bool { return (v == target) == toTarget }
@@ -183,9 +194,9 @@
 
 // allowBase keeps a service without an order on one version: an order for a
 // version whose upstreams are seen already may still be on its way.
-func (o *Orders) allowBase(service string, available kcset.Set[string], first string) func(string) bool {
-	if !available.Has(o.base[service]) && first != "" {
-		o.base[service] = first
+func (o *Orders) allowBase(service string, have versions) func(string) bool {
+	if have.counts[o.base[service]] == 0 && have.first != "" {
+		o.base[service] = have.first
 	}
 	base := o.base[service]
 	return func(v string) bool { return v == base }
--- /dev/null
+++ b/internal/kcgate/orders_test.go
@@ -0,0 +1,88 @@
+package kcgate
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+func newTestOrders(clock kcclock.Clock) *Orders {
+	return NewOrders(Options{
+		Clock: clock, Wall: clock, Log: slog.New(slog.DiscardHandler),
+		Deployment:  kctable.Deployment{Instance: "i", Bounds: kctable.Bounds{SessionMs: 5000, ExposureShare: 0.15}},
+		ProgressAge: func(kcclock.Millis) (kcclock.Millis, bool) { return 0, true },
+	})
+}
+
+// canarySession returns a session that goes to the target in the first step.
+func canarySession() string {
+	for i := 0; ; i++ {
+		if s := fmt.Sprint("s", i); point(s) < 0.01 {
+			return s
+		}
+	}
+}
+
+// Guards against an order whose first requests meet a target that has hardly
+// any upstream, and against sessions that go back when some of them crash.
+func TestTargetGetsRequestsOnceItIsReady(t *testing.T) {
+	clock := kcclock.NewManual(1_000_000)
+	o := newTestOrders(clock)
+	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
+	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
+	session := canarySession()
+	goes := func(targets int) bool {
+		return o.allow("s", session, versions{counts: map[string]int{"v1": 12, "v2": targets}, first: "v1"})("v2")
+	}
+	if goes(1) {
+		t.Error("a session goes to a target with one upstream of twelve")
+	}
+	if !goes(6) {
+		t.Error("the session does not go to a target with half of the upstreams")
+	}
+	if !goes(2) {
+		t.Error("the session goes back when upstreams of the target crash")
+	}
+}
+
+// Guards against a session that moves to the target in the first half of an
+// order, and against one that moves back later.
+func TestSessionsKeepTheirVersion(t *testing.T) {
+	clock := kcclock.NewManual(1_000_000)
+	o := newTestOrders(clock)
+	session := canarySession()
+	have := versions{counts: map[string]int{"v1": 12, "v2": 12}, first: "v1"}
+	o.note(session, "v1")
+	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
+	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
+	if o.allow("s", session, have)("v2") {
+		t.Error("a session that began at the old version moves in the first step")
+	}
+	clock.Advance(5001)
+	if !o.allow("s", session, have)("v2") {
+		t.Error("the session is over, but does not go to the target")
+	}
+	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3, Step: 1})
+	for i := range 50 {
+		if !o.allow("s", fmt.Sprint(i), have)("v2") {
+			t.Errorf("session %d stays at the old version in the last step", i)
+		}
+	}
+}
+
+// Guards against a request for a version that no order has asked for yet.
+func TestUnorderedVersionGetsNothing(t *testing.T) {
+	o := newTestOrders(kcclock.NewManual(1_000_000))
+	for _, have := range []versions{
+		{counts: map[string]int{"v1": 2}, first: "v1"},
+		{counts: map[string]int{"v1": 2, "v2": 9}, first: "v1"},
+		{counts: map[string]int{"v1": 1, "v2": 12}, first: "v2"},
+	} {
+		if allow := o.allow("s", "x", have); allow("v2") || !allow("v1") {
+			t.Errorf("%+v: want v1 alone", have)
+		}
+	}
+}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -35,7 +35,7 @@
 	// failureSlack is the share above that of the others which is chance, and
 	// failureMs the price of a sure failure: about the time after which a
 	// caller has the answer of another try.
-	failureSlack = 0.1
+	failureSlack = 0.2
 	failureMs    = 3000
 	// failureHalfMs is the time in which the share fades to a half: grey
 	// upstreams were seen to stay so for five to ten seconds.
@@ -102,13 +102,15 @@
 	known bool
 	peers map[string]*peer
 	reads readParts
+	// shuffle is a source of chance that tests replace.
+	shuffle func(n int, swap func(i, j int))
 }
 
 // NewUpstreams returns an empty list for an instance in zone.
 func NewUpstreams(clock kcclock.Clock, zone string, regions map[string]string) *Upstreams {
 	return &Upstreams{
 		clock: clock, zone: zone, region: regions[zone], regions: regions, byID: make(map[string]*upstream),
-		peers: make(map[string]*peer),
+		shuffle: rand.Shuffle, peers: make(map[string]*peer),
 	}
 }
 
@@ -198,26 +200,32 @@
 	return out
 }
 
-// versions returns the versions of a service that have upstreams which are not
-// leaving, and the one of the upstream that was born first.
-func (l *Upstreams) versions(service string) (set kcset.Set[string], first string) {
+// versions holds the number of upstreams of a service per version, leaving ones
+// left out, and the version of the one that was born first.
+type versions struct {
+	counts map[string]int
+	first  string
+}
+
+// versions returns the versions of a service.
+func (l *Upstreams) versions(service string) versions {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	set = kcset.New[string]()
+	v := versions{counts: make(map[string]int)}
 	var oldest *upstream
 	for _, u := range l.byID {
 		if u.Service != service || u.Leaving {
 			continue
 		}
-		set.Add(u.Version)
+		v.counts[u.Version]++
 		if oldest == nil || u.Born < oldest.Born || (u.Born == oldest.Born && u.ID < oldest.ID) {
 			oldest = u
 		}
 	}
 	if oldest != nil {
-		first = oldest.Version
+		v.first = oldest.Version
 	}
-	return set, first
+	return v
 }
 
 // want is what a send asks of an upstream.
@@ -262,7 +270,8 @@
 	list = w.narrow(list)
 	// Equal runners are taken in a random order, so that instances do not
 	// choose alike.
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.seed, b.seed) })
+	l.shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	home := l.home(w, list)
 	workers := make([]kcroute.Worker, len(list))
 	for i, u := range list {
--- a/internal/kcgate/work.go
+++ b/internal/kcgate/work.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// perRequestMs is what a running request adds to another: an engine makes
-	// each token a few per cent later.
-	perRequestMs = 3
+	// perRequestMs is what a running request adds to another: an engine that
+	// reads a prompt in ten parts makes a step for all running requests between
+	// two parts, which takes 0.1 ms more for each of them.
+	perRequestMs = 1
 	// engineHoldMs is about the time that a stream keeps its place.
 	engineHoldMs = 3000
 	// zoneMs and regionMs are the prices of an upstream in another availability
