kcfeed: Do not wait at a store that is lost

The store is silent for eight seconds; one instance heard it again 0.5 s after its return and four others 1.5 to 1.9 s later, because each was in a read that waits 1.5 s for a record. Change: reads do not wait while the store is lost. Test: TestFollowerDoesNotWaitAtALostStore.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -276,7 +276,10 @@
 		}
 		if reason, ok := e.gate.Ready(); reason != was {
 			was = reason
-			age, _ := e.config.Age(kcclock.Boot{}.Now())
+			age, known := e.config.Age(kcclock.Boot{}.Now())
+			if !known {
+				age = -1
+			}
 			e.Log.Info("readiness", "ready", ok, "reason", reason, "configAgeMs", age)
 		}
 	}
--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -21,6 +21,8 @@
 	first   int64
 	fail    error
 	reads   int
+	// wait is the one of the last read.
+	wait kcclock.Millis
 }
 
 func (m *memory) add(key, value string) {
@@ -55,10 +57,11 @@
 	return page, m.fail
 }
 
-func (m *memory) Read(_ context.Context, _ string, from int64, _ kcclock.Millis) (kcfeed.Page, error) {
+func (m *memory) Read(_ context.Context, _ string, from int64, wait kcclock.Millis) (kcfeed.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reads++
+	m.wait = wait
 	if m.fail != nil {
 		return kcfeed.Page{}, m.fail
 	}
@@ -85,7 +88,7 @@
 	t.Helper()
 	f := &follow{got: make(chan applied, 100), done: make(chan struct{})}
 	f.Follower = kcfeed.New(kcfeed.Options{
-		Reader: reader, Clock: clock, Log: slog.New(slog.DiscardHandler), Topic: "t", PauseMs: 100, CallMs: 1000,
+		Reader: reader, Clock: clock, Log: slog.New(slog.DiscardHandler), Topic: "t", WaitMs: 30, PauseMs: 100, CallMs: 1000,
 		Apply: func(records []kcfeed.Record, whole, lapsed bool) {
 			a := applied{whole: whole, lapsed: lapsed}
 			for _, r := range records {
@@ -156,6 +159,33 @@
 	}
 }
 
+// Guards against a call that a silent store holds for the time of a long read,
+// so that its return is noticed seconds later.
+func TestFollowerDoesNotWaitAtALostStore(t *testing.T) {
+	clock, m := kcclock.NewManual(1000), &memory{}
+	m.add("a", "1")
+	f := newFollow(t, m, clock)
+	f.until(clock)
+	last := func() kcclock.Millis {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.wait
+	}
+	for calls := m.calls(); m.calls() < calls+1; {
+		clock.Advance(10)
+	}
+	if last() == 0 {
+		t.Error("a read of a store that answers does not wait")
+	}
+	m.set(0, errors.New("silent"))
+	for calls := m.calls(); m.calls() < calls+3; {
+		clock.Advance(10)
+	}
+	if last() != 0 {
+		t.Errorf("a read of a lost store waits for %d ms", last())
+	}
+}
+
 // relayed is a peer that serves what its follower has read.
 func relayed(t *testing.T, f *kcfeed.Follower, clock kcclock.Clock) string {
 	t.Helper()
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -132,14 +132,20 @@
 // step makes one call and applies its result.
 func (f *Follower) step(ctx context.Context, whole, lapsed bool) (int, error) {
 	asked := f.opts.Clock.Now()
-	ctx, cancel := kcclock.WithTimeout(ctx, f.opts.Clock, f.opts.WaitMs+f.opts.CallMs)
+	wait := f.opts.WaitMs
+	if lapsed {
+		// A store that is silent would hold the call for the wait as well, and
+		// its return would be noticed that much later.
+		wait = 0
+	}
+	ctx, cancel := kcclock.WithTimeout(ctx, f.opts.Clock, wait+f.opts.CallMs)
 	defer cancel()
 	var page Page
 	var err error
 	if whole {
 		page, err = f.opts.Reader.Newest(ctx, f.opts.Topic)
 	} else {
-		page, err = f.opts.Reader.Read(ctx, f.opts.Topic, f.End(), f.opts.WaitMs)
+		page, err = f.opts.Reader.Read(ctx, f.opts.Topic, f.End(), wait)
 	}
 	if err != nil {
 		return 0, err
