kcfeed: Confirm with a short read after a change

The answer that brings a change was asked for up to a whole wait before, so the state counted as up to 1.5 s old, and 3 s old at the end of the next wait; no instance then counts as able to read for others. Change: after records one read does not wait. Test: TestFollowerConfirmsAfterAChange fails before.

--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 
@@ -21,8 +22,9 @@
 	first   int64
 	fail    error
 	reads   int
-	// wait is the one of the last read.
-	wait kcclock.Millis
+	// wait is the one of the last read, waits holds those of all.
+	wait  kcclock.Millis
+	waits []kcclock.Millis
 }
 
 func (m *memory) add(key, value string) {
@@ -61,7 +63,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reads++
-	m.wait = wait
+	m.wait, m.waits = wait, append(m.waits, wait)
 	if m.fail != nil {
 		return kcfeed.Page{}, m.fail
 	}
@@ -171,7 +173,7 @@
 		defer m.mu.Unlock()
 		return m.wait
 	}
-	for calls := m.calls(); m.calls() < calls+1; {
+	for m.calls() < 2 {
 		clock.Advance(10)
 	}
 	if last() == 0 {
@@ -186,6 +188,29 @@
 	}
 }
 
+// Guards against state that counts as old after each change, because the answer
+// that brought the change was asked for a whole wait before.
+func TestFollowerConfirmsAfterAChange(t *testing.T) {
+	clock, m := kcclock.NewManual(1000), &memory{}
+	m.add("a", "1")
+	f := newFollow(t, m, clock)
+	f.until(clock)
+	for m.calls() < 2 {
+		clock.Advance(10)
+	}
+	m.add("a", "2")
+	f.until(clock)
+	for calls := m.calls(); m.calls() < calls+2; {
+		clock.Advance(10)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The first read follows the read of all keys, which brought records too.
+	if got := slices.Compact(slices.Clone(m.waits)); len(got) < 4 || !slices.Equal(got[:4], []kcclock.Millis{0, 30, 0, 30}) {
+		t.Errorf("waits of the reads: %v, want one without a wait after each change", m.waits)
+	}
+}
+
 // relayed is a peer that serves what its follower has read.
 func relayed(t *testing.T, f *kcfeed.Follower, clock kcclock.Clock) string {
 	t.Helper()
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -95,9 +95,13 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	whole, lost := true, false
-	pause := firstPause
+	pause, news := firstPause, 0
 	for ctx.Err() == nil {
-		n, err := f.step(ctx, whole, lost)
+		// A store that is silent would hold a call for the wait as well, and its
+		// return would be noticed that much later. An answer with records may
+		// have been on its way for most of the wait; a read that does not wait
+		// confirms that there are no later ones.
+		n, err := f.step(ctx, whole, lost, !lost && news == 0)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -116,7 +120,7 @@
 		case lost:
 			f.opts.Log.Info("dependency regained", "dependency", "store", "topic", f.opts.Topic, "offset", f.End())
 		}
-		whole, lost, pause = false, false, firstPause
+		whole, lost, pause, news = false, false, firstPause, n
 		if n > 0 {
 			f.wait(ctx, f.opts.PauseMs)
 		}
@@ -130,13 +134,11 @@
 }
 
 // step makes one call and applies its result.
-func (f *Follower) step(ctx context.Context, whole, lapsed bool) (int, error) {
+func (f *Follower) step(ctx context.Context, whole, lapsed, waits bool) (int, error) {
 	asked := f.opts.Clock.Now()
-	wait := f.opts.WaitMs
-	if lapsed {
-		// A store that is silent would hold the call for the wait as well, and
-		// its return would be noticed that much later.
-		wait = 0
+	wait := kcclock.Millis(0)
+	if waits {
+		wait = f.opts.WaitMs
 	}
 	ctx, cancel := kcclock.WithTimeout(ctx, f.opts.Clock, wait+f.opts.CallMs)
 	defer cancel()
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -341,20 +341,13 @@
 		if u.Zone != l.zone {
 			continue
 		}
-		if h := w.prompt.affinity ^ u.seed; best == nil || mix(h) > most {
-			best, most = u, mix(h)
+		if h := kcset.Mix(w.prompt.affinity ^ u.seed); best == nil || h > most {
+			best, most = u, h
 		}
 	}
 	return best
 }
 
-// mix is the finalizer of SplitMix64; it spreads the bits of x.
-func mix(x uint64) uint64 {
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
-
 // begun notes that the answer has begun: the prompt is read.
 func (l *Upstreams) begun(c *choice) {
 	l.mu.Lock()
--- a/internal/kcroute/place.go
+++ b/internal/kcroute/place.go
@@ -173,7 +173,7 @@
 			continue
 		}
 		t := p.tiers[i]
-		if w := mix(key ^ r.seed); best[t] < 0 || w > weight[t] {
+		if w := kcset.Mix(key ^ r.seed); best[t] < 0 || w > weight[t] {
 			best[t], weight[t] = i, w
 		}
 	}
@@ -189,13 +189,6 @@
 	return best[tierRemote]
 }
 
-// mix is the finalizer of SplitMix64; it spreads the bits of x.
-func mix(x uint64) uint64 {
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
-
 // leastLoaded returns the runner with the smallest share of its slots taken,
 // the nearest one of equals. Runners of other regions come last.
 func leastLoaded(p *Pool, pl Placement) int {
--- a/internal/kcset/rendezvous.go
+++ b/internal/kcset/rendezvous.go
@@ -29,3 +29,10 @@
 func Shard(key string, shards int) int {
 	return int(xxhash.Sum64String(key) % uint64(shards))
 }
+
+// Mix is the finalizer of SplitMix64; it spreads the bits of x.
+func Mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
