--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -191,9 +191,9 @@
 		x.g.Upstreams.release(c, full)
 		x.g.Metrics.Retried("notRun")
 		return again
-	case resp.Header.Get("Content-Encoding") != "":
+	case !genuine(resp, head):
 		resp.Abort()
-		end(maybeRan, "encoded body")
+		end(maybeRan, "not the answer of the application")
 		x.g.Upstreams.release(c, neutral)
 		return lost
 	case x.shouldEscalate(head, model):
@@ -208,6 +208,12 @@
 	return x.pass(ctx, c, resp, end)
 }
 
+// genuine reports whether an answer can be the one of the application: a success
+// bears its signature, and no body is encoded, because nobody asked for that.
+func genuine(resp *kcconn.Response, head Head) bool {
+	return resp.Header.Get("Content-Encoding") == "" && (head.Signed || resp.StatusCode >= http.StatusMultipleChoices)
+}
+
 // sendFailed classifies a send without an answer.
 func (x *exchange) sendFailed(ctx context.Context, c *choice, err error, end func(execution, string)) verdict {
 	var failure *kcconn.Error
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -264,7 +264,7 @@
 		return false
 	}
 	head := x.g.Codec.Head(resp.Response)
-	if head.NotRun || resp.StatusCode != http.StatusOK || resp.Header.Get("Content-Encoding") != "" {
+	if head.NotRun || resp.StatusCode != http.StatusOK || !genuine(resp, head) {
 		resp.Abort()
 		s.detail = itoa(resp.StatusCode)
 		if head.NotRun {
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -92,21 +92,11 @@
 
 // Limits bounds what callers may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	HeaderMs    kcclock.Millis
+	BodyBytes int64
 	// IdleMs is how long a connection of a caller may stay idle.
 	IdleMs kcclock.Millis
 }
 
-// Service is a set of upstreams that serve the same requests.
-type Service struct {
-	Name string
-	// MaxConns is the number of connections that an upstream accepts from all
-	// callers together.
-	MaxConns int
-}
-
 // Table is one version of the configuration. It is not changed once built.
 type Table struct {
 	Version int64
@@ -115,9 +105,8 @@
 	// Workspaces holds the workspaces per key.
 	Workspaces map[string]Workspace
 	// Keyed means that routes which are not public need a key.
-	Keyed    bool
-	Services map[string]Service
-	Limits   Limits
+	Keyed  bool
+	Limits Limits
 }
 
 // Add puts a route into the table.
