kcedge: Finish orders when the group of judges is dealt anew

In reading: a judge that meets a trimmed log of evidence stepped through the gap one record a read. Tests: TestOthersFinishLateOrders, TestTrimmedReadsTellTheFirstOffset; both fail before.

--- a/internal/kcedge/orders.go
+++ b/internal/kcedge/orders.go
@@ -8,6 +8,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
 	"github.com/kingcuprail/kingcuprail/internal/kcgate"
+	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 	kcplatform "github.com/kingcuprail/kingcuprail/platform"
@@ -24,7 +25,11 @@
 	// holdMs is the time after which the judge of an order is replaced.
 	holdMs = 3000 * kcclock.Millisecond
 	// joinMs is the time between calls that keep the judge.
-	joinMs = 1000 * kcclock.Millisecond
+	joinMs = 600 * kcclock.Millisecond
+	// lateMs is the time after which another member of the group takes the
+	// last step of an order. The group may be dealt anew at any time, and the
+	// new judge learns of it at its next call.
+	lateMs = 400 * kcclock.Millisecond
 	// readMs is the time between reads of evidence by the judge.
 	readMs = 500 * kcclock.Millisecond
 	// startSpreadMs spreads the first publication of an order over the
@@ -72,8 +77,8 @@
 			k.publish(ctx, o)
 		}
 		k.hold(ctx)
-		if k.judge {
-			k.decide(ctx, open)
+		if due := k.due(open); len(due) > 0 {
+			k.decide(ctx, due)
 		}
 	}
 	if k.joined {
@@ -195,6 +200,21 @@
 	})
 }
 
+// due returns the orders that this instance decides: all of them as the judge,
+// and as another member of the group those that the judge is late with.
+func (k *orderKeeper) due(open []kcgate.OpenOrder) []kcgate.OpenOrder {
+	if k.judge {
+		return open
+	}
+	var late []kcgate.OpenOrder
+	for _, o := range open {
+		if k.joined && o.Known && o.ElapsedMs > kcrollout.LastStepMs(o.Order)+lateMs {
+			late = append(late, o)
+		}
+	}
+	return late
+}
+
 // decide reads the evidence of all instances and concludes orders.
 func (k *orderKeeper) decide(ctx context.Context, open []kcgate.OpenOrder) {
 	now := k.clock.Now()
@@ -212,17 +232,19 @@
 
 func (k *orderKeeper) read(ctx context.Context) {
 	var page kcfeed.Page
-	trimmed := false
 	ok := k.call(ctx, "read evidence", func(ctx context.Context) error {
 		var err error
 		page, err = k.e.store.ReadLog(ctx, kcplatform.TopicEvidence, k.from, 0)
-		trimmed = errors.Is(err, kcfeed.ErrTrimmed)
+		var trimmed kcfeed.Trimmed
+		if errors.As(err, &trimmed) {
+			// Reports hold all counts of their instance, so old ones are not
+			// missed.
+			k.from = trimmed.First
+			page, err = k.e.store.ReadLog(ctx, kcplatform.TopicEvidence, k.from, 0)
+		}
 		return err
 	})
 	if !ok {
-		if trimmed {
-			k.from++
-		}
 		return
 	}
 	k.from = page.End
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -17,6 +17,15 @@
 // ErrTrimmed is returned by Read if records after the offset were deleted.
 var ErrTrimmed = errs.New("the records were deleted")
 
+// Trimmed is an ErrTrimmed that tells where the records begin now.
+type Trimmed struct{ First int64 }
+
+// Error describes the failure.
+func (e Trimmed) Error() string { return ErrTrimmed.Error() }
+
+// Is reports that the error is an ErrTrimmed.
+func (e Trimmed) Is(target error) bool { return target == ErrTrimmed }
+
 // Record is one value of a key.
 type Record struct {
 	Key string `json:"key"`
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -67,6 +67,12 @@
 	return max((usedExposure*v.ExposureShare-rest)/(1-rest), minCanary*v.ExposureShare)
 }
 
+// LastStepMs returns the time after the start of an order at which its target
+// gets all requests.
+func LastStepMs(o kctable.Order) kcclock.Millis {
+	return kcclock.Millis((1 - publishPart - allPart) * float64(o.SpanMs))
+}
+
 // NewOrderDetector returns the test for the target of an order.
 func NewOrderDetector(now kcclock.Millis, o kctable.Order) *Detector {
 	return NewDetectorEvery(now, max(o.SpanMs/detectorSteps, kcclock.Second))
