--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -11,8 +11,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-
-	kcplatform "github.com/kingcuprail/kingcuprail/platform"
 )
 
 type root struct {
@@ -44,7 +42,6 @@
 	var cli root
 	parser, err := kong.New(&cli, kong.Name("kingcuprail"), kong.Writers(stdout, stderr),
 		kong.Description("A model-aware router for model versions and cascades."),
-		kong.Vars{"edgeSettings": kcplatform.SettingsVariable},
 		kong.UsageOnError(), kong.Exit(func(n int) { code = n }))
 	if err != nil {
 		panic(err) // the command structs above are wrong
