--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -317,10 +317,16 @@
 		c.idle[nc] = c.clock.Now()
 		return
 	}
+	if state == http.StateActive {
+		// A request that crossed closeIdle was read and is served.
+		_ = nc.SetReadDeadline(time.Time{})
+	}
 	delete(c.idle, nc)
 }
 
-// closeIdle closes the connections that are idle for longer than limit.
+// closeIdle ends the connections that are idle for longer than limit. Their
+// server stops waiting for a request; a close would cut off one that was read
+// already and is not known to be active yet.
 func (c *callerConns) closeIdle(limit kcclock.Millis) {
 	if limit <= 0 {
 		return
@@ -330,7 +336,7 @@
 	defer c.mu.Unlock()
 	for nc, since := range c.idle {
 		if now-since > limit {
-			_ = nc.Close()
+			_ = nc.SetReadDeadline(time.Unix(1, 0))
 			delete(c.idle, nc)
 		}
 	}
