kcedge, kcgate: Name the limits of servers and log the errors that were dropped

The time limits of the servers and the default limit of bodies were bare figures; errors of deadlines and of the listeners for readiness, metrics and peers were dropped. Found by reading. The limit of header bytes in the configuration was decoded by nobody: an instance refused headers above a fixed 16 KB, whatever the configuration permits.

TestLargeHeadersAreRefused covers it; it was written with the change.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -80,8 +80,18 @@
 	// memoryPart is the part of the memory limit at which the garbage
 	// collector works harder.
 	memoryPart = 0.6
-	// headBytes bounds the headers of requests before a configuration is known.
-	headBytes = 16 << 10
+	// headBytes bounds the headers of requests, whatever the configuration
+	// permits: four times the usual limit of HTTP servers.
+	headBytes = 64 << 10
+	// callerHeadMs bounds the time in which a caller sends its headers. It is
+	// three times the limit of the known deployments.
+	callerHeadMs = 10 * kcclock.Second
+	// callerIdleMs ends connections that the sweep has missed. The limit that
+	// counts is the one of the configuration.
+	callerIdleMs = 3600 * kcclock.Second
+	// insideHeadMs bounds the time in which other instances and programs that
+	// check this one send their headers: they are near.
+	insideHeadMs = 5 * kcclock.Second
 )
 
 // Edge is an instance.
@@ -194,14 +204,14 @@
 			ended <- t.name
 		}()
 	}
-	servers := []*http.Server{e.serveCallers(front), serve(ready, http.HandlerFunc(e.answerReady))}
+	servers := []*http.Server{e.serveCallers(front), e.serve("readiness", ready, http.HandlerFunc(e.answerReady))}
 	if ln := e.peers.serving(); ln != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET "+kcfeed.FeedPath, &kcfeed.Relay{Clock: kcclock.Boot{}, Followers: map[string]*kcfeed.Follower{
 			kcplatform.TopicOperator: e.config, kcplatform.TopicUpstreams: e.upstreams, kcplatform.TopicProgress: e.progress,
 		}})
 		mux.HandleFunc("POST "+evidencePath, e.peers.take)
-		servers = append(servers, serve(ln, mux))
+		servers = append(servers, e.serve("peers", ln, mux))
 	}
 	if m := e.serveMetrics(); m != nil {
 		servers = append(servers, m)
@@ -214,29 +224,36 @@
 		<-ended
 	}
 	for _, s := range servers {
-		_ = s.Close()
+		if err := s.Close(); err != nil {
+			e.Log.Warn("listener not closed", "error", err)
+		}
 	}
 	e.Log.Info("stop", "unfinished", e.gate.Running())
 	return nil
 }
 
-func serve(ln net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = s.Serve(ln) }()
+// serve answers the requests of other programs than callers.
+func (e *Edge) serve(what string, ln net.Listener, h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: insideHeadMs.Duration()}
+	go e.listen(what, s, ln)
 	return s
 }
 
+// listen serves until the server is closed. An instance goes on without the
+// listeners that other programs use.
+func (e *Edge) listen(what string, s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		e.Log.Error("listener ended", "listener", what, "error", err)
+	}
+}
+
 func (e *Edge) serveCallers(ln net.Listener) *http.Server {
 	s := &http.Server{
 		Handler: e.gate, MaxHeaderBytes: headBytes, ConnState: e.conns.changed,
-		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Hour,
+		ReadHeaderTimeout: callerHeadMs.Duration(), IdleTimeout: callerIdleMs.Duration(),
 		ErrorLog: slog.NewLogLogger(e.Log.Handler(), slog.LevelWarn),
 	}
-	go func() {
-		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			e.Log.Error("listener for callers ended", "error", err)
-		}
-	}()
+	go e.listen("callers", s, ln)
 	return s
 }
 
@@ -252,8 +269,10 @@
 		return nil
 	}
 	e.metrics.RegisterProcess()
-	return serve(ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = e.metrics.WriteTo(w)
+	return e.serve("metrics", ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if _, err := e.metrics.WriteTo(w); err != nil {
+			e.Log.Warn("metrics not written", "error", err)
+		}
 	}))
 }
 
--- a/internal/kcgate/gate_test.go
+++ b/internal/kcgate/gate_test.go
@@ -222,3 +222,18 @@
 		t.Error("want version 5 in force and no other")
 	}
 }
+
+// Guards against a limit of the configuration that is not applied.
+func TestLargeHeadersAreRefused(t *testing.T) {
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "ok") })
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, e)
+	table := *f.gate.Table()
+	table.Version, table.Limits.HeadBytes = 2, 1000
+	f.gate.SetTable(&table)
+	for size, want := range map[int]int{100: http.StatusOK, 1000: http.StatusRequestHeaderFieldsTooLarge} {
+		resp, _, err := f.ask(t, "/a/x", "X-Note", strings.Repeat("n", size))
+		if err != nil || resp.StatusCode != want {
+			t.Errorf("header of %d bytes: %v, %v: want %d", size, resp, err, want)
+		}
+	}
+}
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/zeebo/errs"
 
@@ -68,7 +67,7 @@
 	x.writeHead(resp.StatusCode, int(resp.ContentLength))
 	_, err := x.w.Write(read)
 	if err == nil {
-		_ = x.rc.SetWriteDeadline(time.Now().Add(x.left().Duration()))
+		x.bound(x.rc.SetWriteDeadline, x.left())
 		_, err = io.Copy(x.w, resp.Body)
 	}
 	if err != nil {
@@ -192,7 +191,7 @@
 
 // send passes an event to the caller.
 func (x *exchange) send(raw []byte) error {
-	_ = x.rc.SetWriteDeadline(time.Now().Add(writeMs.Duration()))
+	x.bound(x.rc.SetWriteDeadline, writeMs)
 	_, err := x.w.Write(raw)
 	if err == nil {
 		err = x.rc.Flush()
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -46,6 +46,11 @@
 	defaultPatienceMs = 30 * kcclock.Second
 	// writeMs bounds a write to a caller that does not read.
 	writeMs = 10 * kcclock.Second
+	// noBound lifts the bound of reads and writes.
+	noBound kcclock.Millis = -1
+	// defaultBodyBytes bounds bodies where the configuration does not: the
+	// usual limit of HTTP servers in front of applications.
+	defaultBodyBytes = 1 << 20
 )
 
 var (
@@ -126,6 +131,9 @@
 		return x.refuse(http.StatusNotFound, reasonNoRoute, 0)
 	}
 	x.route, x.rank = route, route.Rank
+	if limit := x.table.Limits.HeadBytes; limit > 0 && headSize(x.r.Header) > limit {
+		return x.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonTooLarge, 0)
+	}
 	if x.table.Keyed && !route.Public {
 		ws, known := x.table.Workspaces[ask.Key]
 		switch {
@@ -143,6 +151,17 @@
 	return x.readBody()
 }
 
+// headSize returns the size of headers in bytes, as HTTP/1.1 writes them.
+func headSize(h http.Header) int64 {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(": ") + len(v) + len("\r\n")
+		}
+	}
+	return int64(n)
+}
+
 func (x *exchange) setDeadline() {
 	patience := x.ask.PatienceMs
 	if patience <= 0 {
@@ -159,7 +178,7 @@
 func (x *exchange) readBody() bool {
 	limit := x.table.Limits.BodyBytes
 	if limit <= 0 {
-		limit = 1 << 20
+		limit = defaultBodyBytes
 	}
 	if x.r.ContentLength > limit {
 		return x.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
@@ -168,7 +187,7 @@
 		return true
 	}
 	left := x.deadline - x.g.Clock.Now()
-	_ = x.rc.SetReadDeadline(time.Now().Add(left.Duration()))
+	x.bound(x.rc.SetReadDeadline, left)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -181,7 +200,7 @@
 		x.w.Header().Set("Connection", "close")
 		return x.refuse(http.StatusBadRequest, reasonBadRequest, 0)
 	}
-	_ = x.rc.SetReadDeadline(time.Time{})
+	x.bound(x.rc.SetReadDeadline, noBound)
 	x.body = body
 	return true
 }
@@ -242,6 +261,18 @@
 	}
 }
 
+// bound limits the time of reads from or writes to the caller.
+func (x *exchange) bound(set func(time.Time) error, left kcclock.Millis) {
+	var until time.Time
+	if left != noBound {
+		until = time.Now().Add(max(left, 0).Duration())
+	}
+	if err := set(until); err != nil {
+		// The connection is closing, which the read or write reports as well.
+		x.g.Log.Warn("time limit of a connection not set", "request", x.ask.ID, "error", err)
+	}
+}
+
 // writeHead writes the status and headers.
 func (x *exchange) writeHead(status int, length int) {
 	h := x.w.Header()
@@ -251,7 +282,7 @@
 	if length >= 0 {
 		h["Content-Length"] = []string{itoa(length)}
 	}
-	_ = x.rc.SetWriteDeadline(time.Now().Add(writeMs.Duration()))
+	x.bound(x.rc.SetWriteDeadline, writeMs)
 	x.status = status
 	x.started = true
 	x.w.WriteHeader(status)
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -92,6 +92,8 @@
 
 // Limits bounds what callers may send.
 type Limits struct {
+	// HeadBytes bounds the headers of a request; 0 means no bound.
+	HeadBytes int64
 	BodyBytes int64
 	// IdleMs is how long a connection of a caller may stay idle.
 	IdleMs kcclock.Millis
