kcfeed, kcgate: Get the newest records through peers, and let requests wait for them at the start

Change: the instance that reads for its availability zone also gives its peers the newest record of each key, read once per 3 s. An instance asks the next peer if one is gone, and believes a peer whose word is up to 3.2 s old by asking it more often; the limit follows the time in which keys must be withdrawn. A read after a change waits only until the state is as old as after a full wait, instead of an extra call that does not wait. Instances enter the list at once.

TestFollowerConfirmsAfterAChange asked for one read without a wait, which is the mechanism; it now asks that the state is confirmed within a full wait of the last confirmation, and that no call is idle. Seen to fail on broken code: this test, TestRelayReadsTheNewestRecordsOnce, TestFollowerDoesNotWaitAtALostStore, TestRequestsAtTheStart (hangs until the test's limit).

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -68,11 +68,16 @@
 	// callMs bounds a call of the store: it takes 4 ms, and 350 ms on the
 	// slowest days that were announced.
 	callMs = 1200 * kcclock.Millisecond
-	// peerSlackMs is added to the wait of a read for the age from which the
-	// word of the instance that reads for others is not enough. With the wait
-	// at the peer the configuration is then at most 3.2 s old, below the
-	// shortest time in which a removed key must not work.
-	peerSlackMs = 700 * kcclock.Millisecond
+	// readSlackMs bounds a read of the store beyond its wait. The reader of an
+	// availability zone has then asked again before peerAgeMs.
+	readSlackMs = 500 * kcclock.Millisecond
+	// peerAgeMs is the age from which the word of the instance that reads for
+	// others is not enough: it comes before an instance counts as in touch
+	// again, 4 s in the known deployments, by a call of the slowest store.
+	peerAgeMs = 3200 * kcclock.Millisecond
+	// revokeSlackMs is the time for such a call and for the margin at which
+	// keys are too old to be accepted.
+	revokeSlackMs = 1800 * kcclock.Millisecond
 	// directMs is how long the store is read directly after that.
 	directMs = 1500 * kcclock.Millisecond
 	// sweepMs is the time between sweeps of idle connections.
@@ -125,12 +130,12 @@
 	e.peers = newPeers(e)
 	follow := func(topic string, wait, pause kcclock.Millis, apply func([]kcfeed.Record, bool, bool)) *kcfeed.Follower {
 		reader := &kcfeed.PeerReader{
-			Store: e.store, Pool: e.storePool, Clock: clock, Peer: e.peers.reader,
-			MaxAgeMs: wait + peerSlackMs, DirectMs: directMs,
+			Store: e.store, Pool: e.storePool, Clock: clock, Log: opts.Log, Peer: e.peers.reader, Lost: e.peers.lost,
+			MaxAgeMs: peerAge(opts.Deployment.Bounds), DirectMs: directMs,
 		}
 		return kcfeed.New(kcfeed.Options{
 			Reader: reader, Clock: clock, Log: opts.Log, Topic: topic,
-			WaitMs: wait, PauseMs: pause, CallMs: callMs, Apply: apply,
+			WaitMs: wait, PauseMs: pause, ReadMs: readSlackMs, NewestMs: callMs, Apply: apply,
 		})
 	}
 	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, e.applyOperator)
@@ -144,6 +149,15 @@
 	return e
 }
 
+// peerAge returns the age from which the word of the instance that reads for
+// others is not enough.
+func peerAge(b kctable.Bounds) kcclock.Millis {
+	if b.RevokeMs <= 0 {
+		return peerAgeMs
+	}
+	return min(peerAgeMs, b.RevokeMs-revokeSlackMs)
+}
+
 func (e *Edge) countDial(_ string, err error) {
 	if err != nil {
 		e.metrics.Count("upstream.dialFailed")
@@ -189,8 +203,8 @@
 	defer stop()
 	ended := make(chan string)
 	tasks := []task{
-		{"config", e.config.Run},
-		{"upstreams", e.upstreams.Run},
+		{"config", e.peers.onceListed(e.config.Run)},
+		{"upstreams", e.peers.onceListed(e.upstreams.Run)},
 		{"progress", e.progress.Run},
 		{"orders", e.orders.run},
 		{"tell", e.peers.tell},
@@ -207,9 +221,12 @@
 	servers := []*http.Server{e.serveCallers(front), e.serve("readiness", ready, http.HandlerFunc(e.answerReady))}
 	if ln := e.peers.serving(); ln != nil {
 		mux := http.NewServeMux()
-		mux.Handle("GET "+kcfeed.FeedPath, &kcfeed.Relay{Clock: kcclock.Boot{}, Followers: map[string]*kcfeed.Follower{
-			kcplatform.TopicOperator: e.config, kcplatform.TopicUpstreams: e.upstreams, kcplatform.TopicProgress: e.progress,
-		}})
+		mux.Handle("GET "+kcfeed.FeedPath, &kcfeed.Relay{
+			Clock: kcclock.Boot{}, Log: e.Log, Store: e.store,
+			Followers: map[string]*kcfeed.Follower{
+				kcplatform.TopicOperator: e.config, kcplatform.TopicUpstreams: e.upstreams, kcplatform.TopicProgress: e.progress,
+			},
+		})
 		mux.HandleFunc("POST "+evidencePath, e.peers.take)
 		servers = append(servers, e.serve("peers", ln, mux))
 	}
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -39,6 +39,11 @@
 	failMs = 3000 * kcclock.Millisecond
 	// enterMs is how long an instance waits for the list before it enters.
 	enterMs = 1000 * kcclock.Millisecond
+	// listMs is how long an instance waits for others to enter the list before
+	// it reads everything from the store. Instances that start together enter
+	// within a few tens of milliseconds and read the list again after
+	// progressPauseMs.
+	listMs = 250 * kcclock.Millisecond
 )
 
 // peerEntry is the entry of an instance in the list that instances share.
@@ -151,6 +156,32 @@
 	}
 }
 
+// onceListed returns run with a start that waits until the list of instances
+// tells who can read for this one, but not longer than listMs.
+func (p *peers) onceListed(run func(ctx context.Context)) func(ctx context.Context) {
+	return func(ctx context.Context) {
+		clock := kcclock.Boot{}
+		for until := clock.Now() + listMs; p.conn != nil && clock.Now() < until && !p.listed(); {
+			if kcclock.Wait(ctx, clock, tellMs) != nil {
+				return
+			}
+		}
+		run(ctx)
+	}
+}
+
+// listed reports whether other instances of the availability zone are known.
+func (p *peers) listed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, entry := range p.list {
+		if entry.Zone == p.e.Deployment.Zone {
+			return p.known
+		}
+	}
+	return false
+}
+
 func (p *peers) failing(now kcclock.Millis) bool { return p.failedAt != 0 && now-p.failedAt < failMs }
 
 // reads reports whether this instance can read the store for others.
@@ -159,7 +190,7 @@
 	age, known := p.e.config.Age(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return known && age < configWaitMs+peerSlackMs && !p.failing(now)
+	return known && age < peerAge(p.e.Deployment.Bounds) && !p.failing(now)
 }
 
 // evidencePath takes the evidence of peers in the same availability zone.
@@ -263,9 +294,13 @@
 	}
 	clock := kcclock.Boot{}
 	for until := clock.Now() + enterMs; clock.Now() < until && ctx.Err() == nil; {
-		if p.entered(entry) {
+		known, entered := p.entered(entry)
+		if entered {
 			return
 		}
+		if known {
+			break
+		}
 		_ = kcclock.Wait(ctx, clock, tellMs)
 	}
 	for ctx.Err() == nil && !p.write(ctx, raw) {
@@ -273,12 +308,24 @@
 	}
 }
 
-// entered reports whether the list holds the entry of this instance already,
-// from a time before a restart.
-func (p *peers) entered(entry peerEntry) bool {
+// entered reports whether the list is known, and whether it holds the entry of
+// this instance already, from a time before a restart.
+func (p *peers) entered(entry peerEntry) (known, entered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known, p.known && p.own == entry
+}
+
+// lost notes that the peer at addr did not answer. It may read for others again
+// once it is heard.
+func (p *peers) lost(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.known && p.own == entry
+	for name, entry := range p.list {
+		if entry.Address.String() == addr {
+			delete(p.heard, name)
+		}
+	}
 }
 
 func (p *peers) leave() {
--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
+	"runtime"
 	"sync"
 	"testing"
 
@@ -22,6 +22,10 @@
 	first   int64
 	fail    error
 	reads   int
+	// newests counts the reads of all keys.
+	newests int
+	// held, if set, delays a read that waits.
+	held func()
 	// wait is the one of the last read, waits holds those of all.
 	wait  kcclock.Millis
 	waits []kcclock.Millis
@@ -48,6 +52,7 @@
 func (m *memory) Newest(context.Context, string) (kcfeed.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.newests++
 	page := kcfeed.Page{End: int64(len(m.records))}
 	newest := map[string]kcfeed.Record{}
 	for _, r := range m.records {
@@ -60,6 +65,9 @@
 }
 
 func (m *memory) Read(_ context.Context, _ string, from int64, wait kcclock.Millis) (kcfeed.Page, error) {
+	if wait > 0 && m.held != nil {
+		m.held()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reads++
@@ -86,11 +94,11 @@
 	done chan struct{}
 }
 
-func newFollow(t *testing.T, reader kcfeed.Reader, clock kcclock.Clock) *follow {
+func newFollow(t *testing.T, reader kcfeed.Reader, clock kcclock.Clock, pause kcclock.Millis) *follow {
 	t.Helper()
 	f := &follow{got: make(chan applied, 100), done: make(chan struct{})}
 	f.Follower = kcfeed.New(kcfeed.Options{
-		Reader: reader, Clock: clock, Log: slog.New(slog.DiscardHandler), Topic: "t", WaitMs: 30, PauseMs: 100, CallMs: 1000,
+		Reader: reader, Clock: clock, Log: slog.New(slog.DiscardHandler), Topic: "t", WaitMs: 300, PauseMs: pause, ReadMs: 1000, NewestMs: 1000,
 		Apply: func(records []kcfeed.Record, whole, lapsed bool) {
 			a := applied{whole: whole, lapsed: lapsed}
 			for _, r := range records {
@@ -123,7 +131,7 @@
 func TestFollowerReadsOnAfterTrouble(t *testing.T) {
 	clock, m := kcclock.NewManual(1000), &memory{}
 	m.add("a", "1")
-	f := newFollow(t, m, clock)
+	f := newFollow(t, m, clock, 100)
 	if got := f.until(clock); got != (applied{values: "1", whole: true}) {
 		t.Errorf("start: %+v", got)
 	}
@@ -147,7 +155,7 @@
 func TestFollowerKnowsItsAge(t *testing.T) {
 	clock, m := kcclock.NewManual(1000), &memory{}
 	m.add("a", "1")
-	f := newFollow(t, m, clock)
+	f := newFollow(t, m, clock, 100)
 	f.until(clock)
 	m.set(0, errors.New("down"))
 	calls := m.calls()
@@ -166,7 +174,7 @@
 func TestFollowerDoesNotWaitAtALostStore(t *testing.T) {
 	clock, m := kcclock.NewManual(1000), &memory{}
 	m.add("a", "1")
-	f := newFollow(t, m, clock)
+	f := newFollow(t, m, clock, 100)
 	f.until(clock)
 	last := func() kcclock.Millis {
 		m.mu.Lock()
@@ -191,34 +199,84 @@
 // Guards against state that counts as old after each change, because the answer
 // that brought the change was asked for a whole wait before.
 func TestFollowerConfirmsAfterAChange(t *testing.T) {
+	const late = 200
 	clock, m := kcclock.NewManual(1000), &memory{}
 	m.add("a", "1")
-	f := newFollow(t, m, clock)
-	f.until(clock)
+	m.held = func() {
+		// The change comes late in the wait of the first read.
+		m.held = nil
+		clock.Advance(late)
+		m.add("a", "2")
+	}
+	f := newFollow(t, m, clock, 0)
+	<-f.got
+	<-f.got
 	for m.calls() < 2 {
-		clock.Advance(10)
+		runtime.Gosched()
 	}
-	m.add("a", "2")
+	f.stop()
+	<-f.done
+	// No more than the 300 ms of a wait may pass without a confirmation: the
+	// second read has to end 300 ms after the first one was asked. One that does
+	// not wait at all would be an idle call.
+	if first, second := m.waits[0], m.waits[1]; first != 300 || second != 300-late {
+		t.Errorf("waits of the reads: %v, want 300 and %d", m.waits[:2], 300-late)
+	}
+}
+
+// Guards against instances that all ask the store for the newest records, at
+// their start or when the store has dropped its history.
+func TestRelayReadsTheNewestRecordsOnce(t *testing.T) {
+	clock, m := kcclock.NewManual(1000), &memory{}
+	m.add("a", "1")
+	m.add("b", "2")
+	f := newFollow(t, m, clock, 100)
 	f.until(clock)
-	for calls := m.calls(); m.calls() < calls+2; {
-		clock.Advance(10)
+	f.stop()
+	<-f.done
+	m.set(0, nil)
+	before := m.newests
+	pool := kcconn.NewPool(kcconn.Options{Clock: clock, DialMs: 1000, UnackedMs: 3000, IdleMs: 4000, MaxIdle: 1})
+	t.Cleanup(pool.Close)
+	addr := relayed(t, f.Follower, clock, m)
+	for range 5 {
+		p := &kcfeed.PeerReader{
+			Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler),
+			Peer: func() (string, bool) { return addr, true }, MaxAgeMs: 5000, DirectMs: 500,
+		}
+		page, err := p.Newest(context.Background(), "t")
+		if err != nil || len(page.Records) != 2 || page.End != 2 || !page.Whole {
+			t.Fatalf("start: %+v, %v: want both records", page, err)
+		}
+		// The peer does not keep what came before its own start.
+		page, err = p.Read(context.Background(), "t", 0, 0)
+		if err != nil || len(page.Records) != 2 || page.End != 2 || !page.Whole {
+			t.Fatalf("records that are not kept: %+v, %v: want the newest ones", page, err)
+		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	// The first read follows the read of all keys, which brought records too.
-	if got := slices.Compact(slices.Clone(m.waits)); len(got) < 4 || !slices.Equal(got[:4], []kcclock.Millis{0, 30, 0, 30}) {
-		t.Errorf("waits of the reads: %v, want one without a wait after each change", m.waits)
+	if m.newests != before+1 || m.calls() != 0 {
+		t.Errorf("%d reads of all keys and %d of a part, want 1 and 0", m.newests-before, m.calls())
+	}
+	clock.Advance(4000)
+	p := &kcfeed.PeerReader{
+		Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Peer: func() (string, bool) { return addr, true }, MaxAgeMs: 5000, DirectMs: 500,
+	}
+	if _, err := p.Newest(context.Background(), "t"); err != nil || m.newests != before+2 {
+		t.Errorf("%v, %d reads of all keys: records of 4 s ago were given to a peer", err, m.newests-before)
 	}
 }
 
 // relayed is a peer that serves what its follower has read.
-func relayed(t *testing.T, f *kcfeed.Follower, clock kcclock.Clock) string {
+func relayed(t *testing.T, f *kcfeed.Follower, clock kcclock.Clock, store kcfeed.Reader) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: &kcfeed.Relay{Clock: clock, Followers: map[string]*kcfeed.Follower{"t": f}}}
+	s := &http.Server{Handler: &kcfeed.Relay{
+		Clock: clock, Log: slog.New(slog.DiscardHandler), Store: store, Followers: map[string]*kcfeed.Follower{"t": f},
+	}}
 	served := make(chan struct{})
 	go func() { defer close(served); _ = s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.Close(); <-served })
@@ -230,7 +288,7 @@
 func TestPeerReaderPrefersAFreshPeer(t *testing.T) {
 	clock, m := kcclock.NewManual(1000), &memory{}
 	m.add("a", "1")
-	f := newFollow(t, m, clock)
+	f := newFollow(t, m, clock, 100)
 	f.until(clock)
 	m.add("b", "2")
 	f.until(clock)
@@ -240,9 +298,10 @@
 	age, _ := f.Age(now)
 	pool := kcconn.NewPool(kcconn.Options{Clock: clock, DialMs: 1000, UnackedMs: 3000, IdleMs: 4000, MaxIdle: 1})
 	t.Cleanup(pool.Close)
-	addr := relayed(t, f.Follower, clock)
+	addr := relayed(t, f.Follower, clock, m)
 	p := &kcfeed.PeerReader{
-		Store: m, Pool: pool, Clock: clock, Peer: func() (string, bool) { return addr, true }, MaxAgeMs: age + 2000, DirectMs: 500,
+		Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Peer: func() (string, bool) { return addr, true }, MaxAgeMs: age + 2000, DirectMs: 500,
 	}
 	page, err := p.Read(context.Background(), "t", 1, 0)
 	if err != nil || page.End != 2 || len(page.Records) != 1 || string(page.Records[0].Value) != "2" {
@@ -258,6 +317,25 @@
 	if _, err = p.Read(context.Background(), "t", 1, 0); err != nil || m.calls() != calls+1 {
 		t.Errorf("%v, %d calls of the store with an old peer, want 1", err, m.calls()-calls)
 	}
+	// A peer that is gone is left for the next one, not for the store.
+	clock.Advance(600)
+	gone, calls := "127.0.0.1:1", m.calls()
+	var lost []string
+	p.MaxAgeMs = 10_000
+	p.Peer = func() (string, bool) {
+		if len(lost) > 0 {
+			return addr, true
+		}
+		return gone, true
+	}
+	p.Lost = func(addr string) { lost = append(lost, addr) }
+	if page, err = p.Read(context.Background(), "t", 1, 0); err != nil || m.calls() != calls || len(page.Records) != 1 {
+		t.Errorf("%+v, %v, %d calls of the store while another peer answers", page, err, m.calls()-calls)
+	}
+	if len(lost) != 1 || lost[0] != gone {
+		t.Errorf("lost peers %v, want %s", lost, gone)
+	}
+	p.Peer, p.MaxAgeMs = func() (string, bool) { return addr, true }, 0
 	// The first record is not kept by the peer any more: the store has it.
 	clock.Advance(600)
 	if page, err = p.Read(context.Background(), "t", 0, 0); err != nil || len(page.Records) != 2 {
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -37,6 +37,9 @@
 // Page is the result of a read.
 type Page struct {
 	Records []Record
+	// Whole is true if Records holds the newest record of each key, and nothing
+	// else is left of the topic.
+	Whole bool
 	// End is the offset from which to read on.
 	End int64
 	// AgeMs is how old the answer was when it was given: 0 from the store.
@@ -65,8 +68,10 @@
 	WaitMs kcclock.Millis
 	// PauseMs is the time after a read that found records.
 	PauseMs kcclock.Millis
-	// CallMs bounds a call beyond WaitMs.
-	CallMs kcclock.Millis
+	// ReadMs bounds a read beyond its wait, NewestMs the read of all keys,
+	// which may take several calls.
+	ReadMs   kcclock.Millis
+	NewestMs kcclock.Millis
 	// Apply takes records in the order of the log. whole is true if they are
 	// everything there is, and lapsed if reads failed since the last call.
 	Apply func(records []Record, whole, lapsed bool)
@@ -104,13 +109,9 @@
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	whole, lost := true, false
-	pause, news := firstPause, 0
+	pause, wait := firstPause, f.opts.WaitMs
 	for ctx.Err() == nil {
-		// A store that is silent would hold a call for the wait as well, and its
-		// return would be noticed that much later. An answer with records may
-		// have been on its way for most of the wait; a read that does not wait
-		// confirms that there are no later ones.
-		n, err := f.step(ctx, whole, lost, !lost && news == 0)
+		n, err := f.step(ctx, whole, lost, wait)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -122,16 +123,22 @@
 			if !lost {
 				f.opts.Log.Warn("dependency lost", "dependency", "store", "topic", f.opts.Topic, "error", err)
 			}
-			lost = true
+			// A store that is silent would hold a call for the wait as well, and
+			// its return would be noticed that much later.
+			lost, wait = true, 0
 			f.wait(ctx, kcclock.Millis(float64(pause)*(0.5+rand.Float64())))
 			pause = min(2*pause, lastPause)
 			continue
 		case lost:
 			f.opts.Log.Info("dependency regained", "dependency", "store", "topic", f.opts.Topic, "offset", f.End())
 		}
-		whole, lost, pause, news = false, false, firstPause, n
+		whole, lost, pause, wait = false, false, firstPause, f.opts.WaitMs
 		if n > 0 {
 			f.wait(ctx, f.opts.PauseMs)
+			// The answer may have been asked for long ago. The next read ends
+			// before the state is older than a full wait.
+			age, _ := f.Age(f.opts.Clock.Now())
+			wait = max(wait-age, 0)
 		}
 	}
 }
@@ -143,13 +150,13 @@
 }
 
 // step makes one call and applies its result.
-func (f *Follower) step(ctx context.Context, whole, lapsed, waits bool) (int, error) {
+func (f *Follower) step(ctx context.Context, whole, lapsed bool, wait kcclock.Millis) (int, error) {
 	asked := f.opts.Clock.Now()
-	wait := kcclock.Millis(0)
-	if waits {
-		wait = f.opts.WaitMs
+	limit := wait + f.opts.ReadMs
+	if whole {
+		limit = f.opts.NewestMs
 	}
-	ctx, cancel := kcclock.WithTimeout(ctx, f.opts.Clock, wait+f.opts.CallMs)
+	ctx, cancel := kcclock.WithTimeout(ctx, f.opts.Clock, limit)
 	defer cancel()
 	var page Page
 	var err error
@@ -161,6 +168,7 @@
 	if err != nil {
 		return 0, err
 	}
+	whole = whole || page.Whole
 	if whole || len(page.Records) > 0 {
 		f.opts.Apply(page.Records, whole, lapsed)
 	}
--- a/internal/kcfeed/relay.go
+++ b/internal/kcfeed/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -25,6 +26,12 @@
 	maxPageBytes = 8 << 20
 	// FeedPath is the path of the relay, followed by the topic.
 	FeedPath = "/feed/"
+	// newestOnly is asked for by peers that know nothing yet.
+	newestOnly int64 = -1
+	// sharedMs is how long the newest records, once read from the store, are
+	// given to peers: instances that start, or that need records which the
+	// store has dropped, come within a few seconds.
+	sharedMs = 3000 * kcclock.Millisecond
 )
 
 // recent keeps the newest records of a topic for peers.
@@ -81,21 +88,97 @@
 
 // wirePage is the answer to a peer.
 type wirePage struct {
-	AgeMs   kcclock.Millis `json:"ageMs"`
-	Records []Record       `json:"records"`
+	AgeMs kcclock.Millis `json:"ageMs"`
+	// Whole and End are set if Records holds the newest record of each key.
+	Whole   bool     `json:"whole,omitempty"`
+	End     int64    `json:"end,omitempty"`
+	Records []Record `json:"records"`
 }
 
 // Relay serves what followers have read to peers, so that not every instance
 // has to ask the store.
 type Relay struct {
 	Clock kcclock.Clock
+	Log   *slog.Logger
+	// Store is read for peers that need the newest record of each key.
+	Store Reader
 	// Followers holds the followers by topic.
 	Followers map[string]*Follower
+
+	mu sync.Mutex
+	// shared holds the newest records that were read for peers, by topic.
+	shared map[string]*sharedPage
+}
+
+// sharedPage is one read of the store that several peers get.
+type sharedPage struct {
+	mu   sync.Mutex
+	page Page
+	// askedAt is 0 if there is no page.
+	askedAt kcclock.Millis
+}
+
+func (r *Relay) sharedOf(topic string) *sharedPage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.shared == nil {
+		r.shared = make(map[string]*sharedPage)
+	}
+	if r.shared[topic] == nil {
+		r.shared[topic] = &sharedPage{}
+	}
+	return r.shared[topic]
+}
+
+// newest returns the newest record of each key and the time at which they were
+// asked for. Peers that come meanwhile wait for the same call.
+func (r *Relay) newest(ctx context.Context, topic string) (Page, kcclock.Millis, error) {
+	s := r.sharedOf(topic)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := r.Clock.Now()
+	if s.askedAt == 0 || now-s.askedAt > sharedMs {
+		page, err := r.Store.Newest(ctx, topic)
+		if err != nil {
+			return Page{}, 0, err
+		}
+		s.page, s.askedAt = page, now
+	}
+	return s.page, s.askedAt, nil
+}
+
+// forget drops the newest records that are too old to be given to peers.
+func (r *Relay) forget(topic string) {
+	s := r.sharedOf(topic)
+	if s.mu.TryLock() {
+		if r.Clock.Now()-s.askedAt > sharedMs {
+			s.page, s.askedAt = Page{}, 0
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (r *Relay) serveNewest(w http.ResponseWriter, req *http.Request, topic string) {
+	page, askedAt, err := r.newest(req.Context(), topic)
+	if err != nil {
+		r.Log.Warn("newest records not given to a peer", "topic", topic, "peer", req.RemoteAddr, "error", err)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.write(w, wirePage{AgeMs: r.Clock.Now() - askedAt, Whole: true, End: page.End, Records: page.Records})
+}
+
+func (r *Relay) write(w http.ResponseWriter, page wirePage) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(page); err != nil {
+		panic(http.ErrAbortHandler) // the peer is gone
+	}
 }
 
 // ServeHTTP answers a read of a topic.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	f := r.Followers[strings.TrimPrefix(req.URL.Path, FeedPath)]
+	topic := strings.TrimPrefix(req.URL.Path, FeedPath)
+	f := r.Followers[topic]
 	q := req.URL.Query()
 	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
 	wait, err2 := strconv.ParseInt(q.Get("waitMs"), 10, 64)
@@ -103,6 +186,11 @@
 		http.Error(w, "want "+FeedPath+"TOPIC?from=OFFSET&waitMs=N", http.StatusBadRequest)
 		return
 	}
+	r.forget(topic)
+	if from == newestOnly {
+		r.serveNewest(w, req, topic)
+		return
+	}
 	records, changed, ok := f.kept.from(from)
 	if ok && len(records) == 0 {
 		select {
@@ -114,13 +202,11 @@
 	}
 	age, known := f.Age(r.Clock.Now())
 	if !ok || !known {
-		w.WriteHeader(http.StatusGone)
+		// The store may have dropped those records as well.
+		r.serveNewest(w, req, topic)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(wirePage{AgeMs: age, Records: records}); err != nil {
-		panic(http.ErrAbortHandler) // the peer is gone
-	}
+	r.write(w, wirePage{AgeMs: age, Records: records})
 }
 
 // PeerReader reads from a peer while that knows enough, and otherwise from the
@@ -129,52 +215,112 @@
 	Store Reader
 	Pool  *kcconn.Pool
 	Clock kcclock.Clock
+	Log   *slog.Logger
 	// Peer returns the address of the instance that reads for this one, and
 	// false if this one has to read for itself.
 	Peer func() (string, bool)
+	// Lost, if set, is told the address of a peer that did not answer, so that
+	// Peer returns another one.
+	Lost func(addr string)
 	// MaxAgeMs is the age from which the word of a peer is not enough.
 	MaxAgeMs kcclock.Millis
-	// DirectMs is how long the store is read after a peer failed.
+	// DirectMs is how long the store is read after no peer could help.
 	DirectMs kcclock.Millis
 
-	mu sync.Mutex
-	// directUntil holds the end of the direct reads per topic.
-	directUntil map[string]kcclock.Millis
+	mu     sync.Mutex
+	topics map[string]peerState
+}
+
+// peerState is what a PeerReader knows of a topic at its peers.
+type peerState struct {
+	// directUntil is the end of the direct reads.
+	directUntil kcclock.Millis
+	// confirmedAt is the time for which the last answer of a peer spoke.
+	confirmedAt kcclock.Millis
 }
 
-// Newest returns the newest record of each key from the store.
+// Newest returns the newest record of each key.
 func (p *PeerReader) Newest(ctx context.Context, topic string) (Page, error) {
+	page, ok := p.fromPeer(ctx, topic, newestOnly, 0)
+	switch {
+	case ok:
+		return page, nil
+	case ctx.Err() != nil:
+		return page, context.Cause(ctx)
+	}
 	return p.Store.Newest(ctx, topic)
 }
 
 // Read returns the records from an offset on.
 func (p *PeerReader) Read(ctx context.Context, topic string, from int64, wait kcclock.Millis) (Page, error) {
-	addr, ok := p.Peer()
-	p.mu.Lock()
-	ok = ok && p.Clock.Now() >= p.directUntil[topic]
-	p.mu.Unlock()
-	if ok {
-		page, err := p.ask(ctx, addr, topic, from, min(wait, peerWaitMs))
+	page, ok := p.fromPeer(ctx, topic, from, min(wait, peerWaitMs))
+	switch {
+	case ok:
+		return page, nil
+	case ctx.Err() != nil:
+		return page, context.Cause(ctx)
+	}
+	return p.Store.Read(ctx, topic, from, wait)
+}
+
+// fromPeer reads from the peer that reads for this instance, and from the next
+// one if that does not answer. It returns false if the store has to be asked.
+func (p *PeerReader) fromPeer(ctx context.Context, topic string, from int64, wait kcclock.Millis) (Page, bool) {
+	state := p.stateOf(topic)
+	if p.Clock.Now() < state.directUntil {
+		return Page{}, false
+	}
+	// The older the last answer, the sooner the next one has to come.
+	left := state.confirmedAt + p.MaxAgeMs - p.Clock.Now()
+	wait = min(wait, max(left, shortWaitMs))
+	for range peerTries {
+		addr, ok := p.Peer()
+		if !ok {
+			return Page{}, false
+		}
+		asked := p.Clock.Now()
+		page, err := p.ask(ctx, addr, topic, from, wait)
 		if err == nil && page.AgeMs <= p.MaxAgeMs {
-			return page, nil
+			p.setState(topic, peerState{confirmedAt: p.Clock.Now() - page.AgeMs})
+			return page, true
 		}
 		if ctx.Err() != nil {
-			return page, context.Cause(ctx)
+			return page, false
 		}
-		p.mu.Lock()
-		if p.directUntil == nil {
-			p.directUntil = make(map[string]kcclock.Millis)
+		p.Log.Warn("peer does not help", "topic", topic, "peer", addr, "ageMs", page.AgeMs, "tookMs", p.Clock.Now()-asked, "error", err)
+		if err == nil || p.Lost == nil {
+			break
 		}
-		p.directUntil[topic] = p.Clock.Now() + p.DirectMs
-		p.mu.Unlock()
+		p.Lost(addr)
 	}
-	return p.Store.Read(ctx, topic, from, wait)
+	p.setState(topic, peerState{directUntil: p.Clock.Now() + p.DirectMs})
+	return Page{}, false
+}
+
+func (p *PeerReader) stateOf(topic string) peerState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.topics[topic]
+}
+
+func (p *PeerReader) setState(topic string, s peerState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.topics == nil {
+		p.topics = make(map[string]peerState)
+	}
+	p.topics[topic] = s
 }
 
 const (
 	// peerWaitMs is how long a read waits at a peer. It adds to the age of what
 	// the peer knows.
 	peerWaitMs = 1000 * kcclock.Millisecond
+	// shortWaitMs is the wait at a peer whose word gets too old: a store that
+	// answers confirms it within that time.
+	shortWaitMs = 100 * kcclock.Millisecond
+	// peerTries is the number of peers that are asked before the store.
+	peerTries = 2
 	// peerCallMs bounds a call of a peer beyond its wait: peers are in the same
 	// availability zone, a millisecond away.
 	peerCallMs = 250 * kcclock.Millisecond
@@ -205,6 +351,10 @@
 		return page, err
 	}
 	page.AgeMs = max(w.AgeMs, 0)
+	if w.Whole {
+		page.Whole, page.Records, page.End = true, w.Records, w.End
+		return page, nil
+	}
 	for _, r := range w.Records {
 		if r.Offset != page.End {
 			return Page{}, errs.New("the peer left out record %d", page.End)
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -115,6 +115,7 @@
 	table     atomic.Pointer[kctable.Table]
 	Upstreams *Upstreams
 	Orders    *Orders
+	start     startState
 	stop      stopState
 	paces     *paces
 	times     *usual
@@ -125,9 +126,11 @@
 
 // New returns a gate that knows no configuration.
 func New(opts Options) *Gate {
+	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
 	return &Gate{
 		Options:   opts,
-		Upstreams: NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions),
+		Upstreams: upstreams,
+		start:     startState{began: opts.Clock.Now(), table: make(chan struct{}), upstreams: upstreams.known},
 		Orders:    NewOrders(opts),
 		paces:     newPaces(),
 		times:     newUsual(),
@@ -144,6 +147,9 @@
 			return false
 		}
 		if g.table.CompareAndSwap(old, t) {
+			if old == nil {
+				close(g.start.table)
+			}
 			return true
 		}
 	}
--- a/internal/kcgate/harness_test.go
+++ b/internal/kcgate/harness_test.go
@@ -190,16 +190,23 @@
 		})
 	}
 	f.gate.Upstreams.Replace(ups, false)
+	f.host = "h.example"
+	f.serve(t, f.gate)
+	return f
+}
+
+// serve directs the requests of the fixture to a gate.
+func (f *fixture) serve(t *testing.T, gate *kcgate.Gate) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: f.gate, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
+	s := &http.Server{Handler: gate, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
 	served := make(chan struct{})
 	go func() { defer close(served); _ = s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.Close(); <-served })
-	f.url, f.host = "http://"+ln.Addr().String(), "h.example"
-	return f
+	f.url = "http://" + ln.Addr().String()
 }
 
 // route returns a route below /name/ to the service.
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -37,8 +37,9 @@
 const (
 	// elsewhereMs lets a caller reach another instance at once.
 	elsewhereMs = 100 * kcclock.Millisecond
-	// startMs is the usual time to read the first configuration.
-	startMs = 500 * kcclock.Millisecond
+	// configRetryMs is about the time to read the first configuration where the
+	// store answers late.
+	configRetryMs = 500 * kcclock.Millisecond
 	// fullRetryMs is about the time in which a sixteenth of the running
 	// requests of an engine ends.
 	fullRetryMs = 700 * kcclock.Millisecond
@@ -120,9 +121,10 @@
 	if closed {
 		return x.refuse(http.StatusServiceUnavailable, reasonStopping, elsewhereMs)
 	}
-	if x.table = g.Table(); x.table == nil || !g.Upstreams.Known() {
-		return x.refuse(http.StatusServiceUnavailable, reasonNoConfig, startMs)
+	if !g.start.await(x.r.Context(), g.Clock) {
+		return x.refuse(http.StatusServiceUnavailable, reasonNoConfig, configRetryMs)
 	}
+	x.table = g.Table()
 	age, fresh := g.keysFresh()
 	x.configAge = age
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
--- /dev/null
+++ b/internal/kcgate/start.go
@@ -0,0 +1,44 @@
+package kcgate
+
+import (
+	"context"
+
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// startMs is how long requests wait for the first configuration and the first
+// list of upstreams, counted from the start of the instance. Callers connect as
+// soon as the port is open, and both are usually there within 50 ms.
+const startMs = 300 * kcclock.Millisecond
+
+// startState tells when an instance knows enough to serve.
+type startState struct {
+	began kcclock.Millis
+	// table and upstreams are closed once they are known.
+	table     chan struct{}
+	upstreams <-chan struct{}
+}
+
+// await waits until the instance knows enough to serve, and reports whether it
+// does.
+func (s *startState) await(ctx context.Context, clock kcclock.Clock) bool {
+	for _, known := range []<-chan struct{}{s.table, s.upstreams} {
+		select {
+		case <-known:
+			continue
+		default:
+		}
+		left := s.began + startMs - clock.Now()
+		if left <= 0 {
+			return false
+		}
+		select {
+		case <-known:
+		case <-clock.After(left):
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -97,9 +97,10 @@
 	// regions holds the region of each availability zone.
 	regions map[string]string
 
-	mu    sync.Mutex
-	byID  map[string]*upstream
-	known bool
+	mu   sync.Mutex
+	byID map[string]*upstream
+	// known is closed once the list was read.
+	known chan struct{}
 	peers map[string]*peer
 	reads readParts
 	// shuffle is a source of chance that tests replace.
@@ -110,15 +111,18 @@
 func NewUpstreams(clock kcclock.Clock, zone string, regions map[string]string) *Upstreams {
 	return &Upstreams{
 		clock: clock, zone: zone, region: regions[zone], regions: regions, byID: make(map[string]*upstream),
-		shuffle: rand.Shuffle, peers: make(map[string]*peer),
+		known: make(chan struct{}), shuffle: rand.Shuffle, peers: make(map[string]*peer),
 	}
 }
 
 // Known reports whether the list was read.
 func (l *Upstreams) Known() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.known
+	select {
+	case <-l.known:
+		return true
+	default:
+		return false
+	}
 }
 
 // Replace sets the whole list. If lapsed is true, the store was away, and
@@ -126,7 +130,9 @@
 func (l *Upstreams) Replace(list []kctable.Upstream, lapsed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.known = true
+	if !l.Known() {
+		close(l.known)
+	}
 	seen := kcset.New[string]()
 	for _, u := range list {
 		seen.Add(u.ID)
