kcgate, kcrollout: Leave faulty upstreams out of the evidence of an order

Change: in the first step the evidence on the target is kept per upstream. The worst quarter of the upstreams is left out while the others answer and fail less than a quarter as often. At the end of its time an order in slight doubt is completed without a last step. The log tells which upstreams are left out and why an order is held back.

TestOrderInDoubtIsConcludedAtItsEnd fails before.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -236,7 +236,7 @@
 	end(maybeRan, err.Error())
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
-		x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Slow, true)
+		x.g.Orders.count(x.service, c, x.route.Name, kcrollout.Slow, true)
 	case ctx.Err() == nil && x.g.Upstreams.broke(c):
 		x.count(c, true)
 	}
@@ -310,10 +310,10 @@
 
 // count adds the outcome of a try to the evidence of an order.
 func (x *exchange) count(c *choice, bad bool) {
-	x.g.Orders.count(x.service, c.Version, x.route.Name, kcrollout.Failure, bad)
+	x.g.Orders.count(x.service, c, x.route.Name, kcrollout.Failure, bad)
 	if !bad && x.timed {
 		// The times are compared per model and route already.
-		x.g.Orders.count(x.service, c.Version, "", kcrollout.Slow, x.slow)
+		x.g.Orders.count(x.service, c, "", kcrollout.Slow, x.slow)
 	}
 }
 
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -1,6 +1,8 @@
 package kcgate
 
 import (
+	"maps"
+	"strings"
 	"sync"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
@@ -42,8 +44,12 @@
 	opened   bool
 	evidence *kcrollout.Evidence
 	detector *kcrollout.Detector
+	// held is set once the log tells that the order waits for more evidence.
+	held bool
 	// suspect is set once the evidence speaks against the target.
 	suspect bool
+	// outliers are the upstreams of the target whose evidence is left out.
+	outliers kcset.Set[string]
 	// relayed holds the instances whose evidence this one publishes.
 	relayed kcset.Set[string]
 	// changed counts the events since evidence was last published, bad those
@@ -229,21 +235,24 @@
 	o.pins[session] = pin{version, now}
 }
 
-// count adds an answer to the evidence of an order that runs.
-func (o *Orders) count(service, version, stratum string, signal kcrollout.Signal, bad bool) {
+// count adds an answer of an upstream to the evidence of an order that runs.
+func (o *Orders) count(service string, c *choice, stratum string, signal kcrollout.Signal, bad bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.services[service]
 	if s == nil || s.evidence == nil || (s.known && s.progress.Stage != kctable.Running) {
 		return
 	}
-	arm := targetArm
-	if version != s.order.Target {
-		arm = otherArm
+	arm, onTarget := otherArm, c.Version == s.order.Target
+	switch {
+	case onTarget && s.progress.Step == 0:
+		arm = upstreamArm(c.ID)
+	case onTarget:
+		arm = targetArm
 	}
 	s.evidence.Add(o.opts.Deployment.Instance, kcrollout.Arm{Version: arm, Stratum: stratum}, signal, bad)
 	s.changed++
-	if bad && arm == targetArm {
+	if bad && onTarget {
 		s.bad++
 	}
 	o.fold(s)
@@ -266,7 +275,15 @@
 
 // fold runs the test over all the evidence.
 func (o *Orders) fold(s *serviceOrder) {
-	s.detector.Fold(o.opts.Clock.Now(), s.evidence.Pooled(targetArm), s.evidence.Pooled(otherArm))
+	now := o.opts.Clock.Now()
+	target, skipped := targetEvidence(s.evidence)
+	if !maps.Equal(skipped, s.outliers) {
+		o.opts.Log.Info("upstreams left out of the evidence", "service", s.order.Service, "version", s.order.Target,
+			"upstreams", strings.Join(kcset.Sorted(skipped), ","), "order", s.order.Offset)
+		s.outliers, s.suspect = skipped, false
+		s.detector = kcrollout.NewOrderDetector(now, s.order)
+	}
+	s.detector.Fold(now, target, s.evidence.Pooled(otherArm))
 	if _, bad := s.detector.Verdict(); bad && !s.suspect {
 		s.suspect = true
 		o.opts.Log.Warn("version suspected", "service", s.order.Service, "version", s.order.Target,
@@ -383,6 +400,13 @@
 	if s == nil || !s.known || s.progress.Stage != kctable.Running {
 		return kctable.Progress{}, seen, false
 	}
-	p, ok = kcrollout.Conclude(o.view(s), s.detector)
+	v := o.view(s)
+	p, ok = kcrollout.Conclude(v, s.detector)
+	if !ok && !s.held && p.Step == 0 && v.Elapsed >= kcrollout.LastStepMs(s.order) {
+		s.held = true
+		signal, doubt := s.detector.Doubt()
+		o.opts.Log.Warn("order held back", "service", service, "target", s.order.Target, "signal", signal, "doubt", doubt,
+			"evidence", s.detector.Seen(), "order", s.order.Offset)
+	}
 	return p, s.detector.Seen(), ok
 }
--- /dev/null
+++ b/internal/kcgate/outlier_test.go
@@ -0,0 +1,74 @@
+package kcgate
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// trial plays the first step of an order in which fails returns the chance that
+// an answer of an upstream of the target fails, and returns the state that the
+// order gets. One answer in five comes from the target.
+func trial(seed uint64, upstreams int, fails func(upstream int) float64) (stage kctable.Stage, bads int) {
+	clock := kcclock.NewManual(1_000_000)
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	o := newTestOrders(clock)
+	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
+	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
+	for range 500 {
+		clock.Advance(20)
+		if rnd.IntN(5) > 0 {
+			o.count("s", &choice{Upstream: kctable.Upstream{ID: "old", Version: "v1"}}, "r", kcrollout.Failure, rnd.Float64() < 0.005)
+			continue
+		}
+		n := rnd.IntN(upstreams)
+		bad := rnd.Float64() < fails(n)
+		if bad {
+			bads++
+		}
+		o.count("s", &choice{Upstream: kctable.Upstream{ID: string(rune('a' + n)), Version: "v2"}}, "r", kcrollout.Failure, bad)
+		if p, _, ok := o.Conclude("s"); ok {
+			return p.Stage, bads
+		}
+	}
+	return kctable.Running, bads
+}
+
+// Guards against a good version that is stopped because a few of its upstreams
+// are faulty, and against a bad one that goes on because it looks like that.
+func TestFaultyUpstreamIsNotItsVersion(t *testing.T) {
+	one := func(n int) float64 {
+		if n == 0 {
+			return 0.9
+		}
+		return 0.005
+	}
+	two := func(n int) float64 { return one(n / 2) }
+	all := func(int) float64 { return 0.33 }
+	stopped := map[string]int{}
+	const seeds = 100
+	for seed := range uint64(seeds) {
+		for name, c := range map[string]struct {
+			upstreams int
+			fails     func(int) float64
+		}{"one of three": {3, one}, "one of seven": {7, one}, "two of eight": {8, two}} {
+			if stage, _ := trial(seed, c.upstreams, c.fails); stage == kctable.Reverted {
+				stopped[name]++
+			}
+		}
+		for _, n := range []int{1, 2, 3, 7, 20} {
+			if stage, bads := trial(seed, n, all); stage != kctable.Reverted || bads > 25 {
+				t.Errorf("seed %d: a version that fails a third on %d upstreams is %v after %d failures", seed, n, stage, bads)
+			}
+		}
+	}
+	// A good version may be stopped in one order of a hundred.
+	for name, n := range stopped {
+		if n > seeds/100 {
+			t.Errorf("%s upstreams faulty: %d of %d good versions were stopped", name, n, seeds)
+		}
+	}
+}
--- a/internal/kcrollout/evidence.go
+++ b/internal/kcrollout/evidence.go
@@ -133,16 +133,30 @@
 
 // Pooled returns the counts of all instances for version.
 func (e *Evidence) Pooled(version string) Strata {
-	out := make(Strata)
+	strata := e.PooledBy(func(v string) (string, bool) { return v, v == version })[version]
+	if strata == nil {
+		return make(Strata)
+	}
+	return strata
+}
+
+// PooledBy returns the counts of all instances by group. group returns the one
+// of a version, and false for versions that are left out.
+func (e *Evidence) PooledBy(group func(version string) (string, bool)) map[string]Strata {
+	out := make(map[string]Strata)
 	for arm, m := range e.counts {
-		if arm.Version != version {
+		name, ok := group(arm.Version)
+		if !ok {
 			continue
 		}
-		sum := out[arm.Stratum]
+		if out[name] == nil {
+			out[name] = make(Strata)
+		}
+		sum := out[name][arm.Stratum]
 		for _, t := range m {
 			sum = sum.Plus(t)
 		}
-		out[arm.Stratum] = sum
+		out[name][arm.Stratum] = sum
 	}
 	return out
 }
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -32,8 +32,8 @@
 
 // maxDoubt is the evidence against a target up to which it gets all requests. A
 // good version exceeds it at most once in four orders; it then only waits.
-// finishDoubt is the same for the end of the order: to hold back an order in
-// its last step leaves the old upstreams idle and the order undone.
+// finishDoubt is the same for the end of the order, where to hold it back any
+// longer leaves it undone.
 var (
 	maxDoubt    = math.Log(4)
 	finishDoubt = math.Log(50)
@@ -119,15 +119,17 @@
 		next.Stage = kctable.Reverted
 		return next, true
 	}
+	const finish = 1 - publishPart
+	part := v.part()
 	_, doubt := d.Doubt()
 	limit := maxDoubt
-	if v.Progress.Step > 0 {
+	if v.Progress.Step > 0 || part >= finish {
 		limit = finishDoubt
 	}
 	sure := doubt < limit && d.Seen()[Failure].Total >= minEvidence
-	const finish = 1 - publishPart
-	switch part := v.part(); {
-	case sure && v.Progress.Step > 0 && part >= finish:
+	switch {
+	case sure && part >= finish:
+		// An order that was in doubt until now has no time for its last step.
 		next.Stage = kctable.Complete
 		return next, true
 	case part >= 1 && !sure:
--- a/internal/kcrollout/order_test.go
+++ b/internal/kcrollout/order_test.go
@@ -1,6 +1,7 @@
 package kcrollout_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -184,3 +185,39 @@
 		t.Errorf("complete: %+v, want the target alone", d)
 	}
 }
+
+// Guards against an order that was in slight doubt until its end and is then
+// undone, or moved to its last step without time for it.
+func TestOrderInDoubtIsConcludedAtItsEnd(t *testing.T) {
+	order := kctable.Order{Service: "s", Target: "v2", SpanMs: spanMs, Offset: 1}
+	det := kcrollout.NewOrderDetector(0, order)
+	fresh, old := kcrollout.Strata{}, kcrollout.Strata{}
+	for range 200 {
+		addAnswer(old, kcrollout.Failure, false)
+	}
+	// As many good answers as are usual, and failures until the doubt is above
+	// the limit of the first step.
+	for range 25 {
+		addAnswer(fresh, kcrollout.Failure, false)
+	}
+	det.Fold(0, fresh, old)
+	doubt := 0.0
+	for doubt < math.Log(4) {
+		addAnswer(fresh, kcrollout.Failure, true)
+		det.Fold(0, fresh, old)
+		_, doubt = det.Doubt()
+	}
+	if doubt >= math.Log(50) {
+		t.Fatalf("doubt %.1f: one failure too many", doubt)
+	}
+	v := kcrollout.OrderView{
+		Order: order, Known: true, InTouch: true, ExposureShare: exposure,
+		Progress: kctable.Progress{Service: "s", Target: "v2", Order: 1},
+	}
+	for part, want := range map[float64]kctable.Stage{0.93: kctable.Running, 0.96: kctable.Complete} {
+		v.Elapsed = kcclock.Millis(part * float64(spanMs))
+		if next, ok := kcrollout.Conclude(v, det); next.Stage != want || ok != (want != kctable.Running) {
+			t.Errorf("after %.2f of the time: %v, %v, want %v", part, next, ok, want)
+		}
+	}
+}
