--- a/internal/kcedge/edge_test.go
+++ b/internal/kcedge/edge_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcedge"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/platform/kcplatformtest"
 )
 
 const config = `{"version":%V,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","type":"idempotent","service":"x",
@@ -23,7 +24,7 @@
 
 // path is the whole path: an instance, a store and an upstream.
 type path struct {
-	store *store
+	store *kcplatformtest.Store
 	front string
 	ready string
 	stop  context.CancelFunc
@@ -42,13 +43,13 @@
 
 func newPath(t *testing.T) *path {
 	t.Helper()
-	upstream := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	upstream := kcplatformtest.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Stamp", "s")
 		_, _ = io.WriteString(w, r.Header.Get("Expect-Instance"))
 	}))
-	p := &path{store: newStore(t), done: make(chan error, 1)}
-	p.store.put("keyed.servers", "u1",
+	p := &path{store: kcplatformtest.NewStore(t), done: make(chan error, 1)}
+	p.store.Put("keyed.servers", "u1",
 		`{"service":"x","address":"`+upstream+`","zone":"z","version":"v1","slots":4,"state":"ready","born":1}`)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
@@ -61,7 +62,7 @@
 		},
 		Deployment: kctable.Deployment{
 			Instance: "i", Zone: "z", Region: "r", Regions: map[string]string{"z": "r"}, IP: "127.0.0.1",
-			CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", StoreAddr: p.store.addr, PeerAddr: "127.0.0.1:0",
+			CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", StoreAddr: p.store.Addr, PeerAddr: "127.0.0.1:0",
 			Bounds: kctable.Bounds{StrictRevoke: true, RevokeMs: 5000, GraceMs: 2000, RetryRatio: 0.9, SessionMs: 5000},
 		},
 	})
@@ -108,27 +109,27 @@
 	if got, _ := p.get(t, p.ready, "/readyz", ""); got != http.StatusServiceUnavailable {
 		t.Errorf("readiness without a configuration: %d", got)
 	}
-	p.store.put("keyed.op", "config", configOf("3", `"k1","k2"`))
+	p.store.Put("keyed.op", "config", configOf("3", `"k1","k2"`))
 	p.eventually(t, p.ready, "/readyz", "", http.StatusOK)
 	if got, body := p.get(t, p.front, "/a/b", "k1"); got != http.StatusOK || body != "u1" {
 		t.Errorf("%d %q", got, body)
 	}
-	p.store.put("keyed.op", "config", configOf("5", `"k2"`))
+	p.store.Put("keyed.op", "config", configOf("5", `"k2"`))
 	p.eventually(t, p.front, "/a/b", "k1", http.StatusUnauthorized)
 	p.eventually(t, p.front, "/a/b", "k2", http.StatusOK)
-	p.store.put("keyed.op", "config", configOf("4", `"k1"`))
-	p.store.put("keyed.servers", "u1", "")
+	p.store.Put("keyed.op", "config", configOf("4", `"k1"`))
+	p.store.Put("keyed.servers", "u1", "")
 	p.eventually(t, p.front, "/a/b", "k2", http.StatusServiceUnavailable)
 	if got, _ := p.get(t, p.front, "/a/b", "k1"); got != http.StatusUnauthorized {
 		t.Errorf("an older configuration came into force: %d", got)
 	}
-	until(func() bool { return p.store.latest("keyed.status", "instance/i") != "" })
+	until(func() bool { return p.store.Latest("keyed.status", "instance/i") != "" })
 	p.stop()
 	if err := <-p.done; err != nil {
 		t.Error(err)
 	}
 	p.done <- nil
-	if got := p.store.latest("keyed.status", "instance/i"); got != "" {
+	if got := p.store.Latest("keyed.status", "instance/i"); got != "" {
 		t.Errorf("the entry %s is left behind", got)
 	}
 }
@@ -137,12 +138,12 @@
 // it was removed.
 func TestKeysEndWithoutTheStore(t *testing.T) {
 	p := newPath(t)
-	p.store.put("keyed.op", "config", configOf("3", `"k1"`))
+	p.store.Put("keyed.op", "config", configOf("3", `"k1"`))
 	p.eventually(t, p.front, "/a/b", "k1", http.StatusOK)
-	p.store.setDown(true)
+	p.store.SetFaults(kcplatformtest.StoreFaults{Down: true})
 	p.eventually(t, p.front, "/a/b", "k1", http.StatusServiceUnavailable)
 	p.eventually(t, p.ready, "/readyz", "", http.StatusServiceUnavailable)
-	p.store.setDown(false)
+	p.store.SetFaults(kcplatformtest.StoreFaults{})
 	p.eventually(t, p.front, "/a/b", "k1", http.StatusOK)
 }
 
@@ -150,10 +151,10 @@
 // operator cannot read.
 func TestOrderIsPublished(t *testing.T) {
 	p := newPath(t)
-	p.store.put("keyed.op", "config", configOf("3", `"k1"`))
+	p.store.Put("keyed.op", "config", configOf("3", `"k1"`))
 	p.eventually(t, p.front, "/a/b", "k1", http.StatusOK)
-	p.store.put("keyed.op", "rollout/x", `{"service":"x","target":"v2","deadline_s":2}`)
+	p.store.Put("keyed.op", "rollout/x", `{"service":"x","target":"v2","deadline_s":2}`)
 	for want := range strings.SplitSeq(`"state":"running","target":"v2" "state":"reverted","target":"v2"`, " ") {
-		until(func() bool { return strings.Contains(p.store.latest("keyed.status", "rollout/x"), want) })
+		until(func() bool { return strings.Contains(p.store.Latest("keyed.status", "rollout/x"), want) })
 	}
 }
--- a/internal/kcfleet/effects_test.go
+++ b/internal/kcfleet/effects_test.go
@@ -63,9 +63,9 @@
 	histories := runCallers(f, seed)
 	awaitJobBills(t, f, checkJobs(t, f, histories))
 	for _, e := range f.entries {
-		e.signal()
-		if err := e.wait(); err != nil {
-			t.Errorf("planned stop of %s: %v\n%s", e.name, err, tail(e.output()))
+		e.Stop()
+		if err := e.Wait(); err != nil {
+			t.Errorf("planned stop of %s: %v\n%s", e.Name, err, e.Tail())
 		}
 	}
 	checkEffects(t, f, histories)
@@ -149,8 +149,8 @@
 	}
 	f.lostZone = e.zone
 	f.killed++
-	e.kill()
-	f.unlist(e.name)
+	e.Kill()
+	f.unlist(e.Name)
 	f.add()
 }
 
@@ -159,13 +159,15 @@
 // still has.
 func (f *fleet) stop(rng *rand.Rand) {
 	e := f.take(rng)
-	e.signal()
-	<-e.stopping
+	e.Stop()
+	if !e.AwaitStopping() {
+		f.t.Errorf("%s ended at once in a planned stop: %v\n%s", e.Name, e.Wait(), e.Tail())
+	}
 	clearFaults(f)
-	if err := e.wait(); err != nil {
-		f.t.Errorf("planned stop of %s: %v\n%s", e.name, err, tail(e.output()))
+	if err := e.Wait(); err != nil {
+		f.t.Errorf("planned stop of %s: %v\n%s", e.Name, err, e.Tail())
 	}
-	f.unlist(e.name)
+	f.unlist(e.Name)
 	f.add()
 }
 
@@ -259,7 +261,7 @@
 	if err != nil || resp.StatusCode != http.StatusOK || !strings.HasSuffix(string(body), "data: [DONE]\n\n") {
 		return chat{}, false
 	}
-	return chat{requestID: resp.Header.Get(kcapi.HeaderRequestID), price: resp.Header.Get(kcapi.HeaderPrice), instance: e.name}, true
+	return chat{requestID: resp.Header.Get(kcapi.HeaderRequestID), price: resp.Header.Get(kcapi.HeaderPrice), instance: e.Name}, true
 }
 
 // effects returns how often the order of each key ran.
@@ -298,9 +300,3 @@
 	}
 	t.Logf("%d keys, %d completed, %d effects", len(histories), done, len(counts))
 }
-
-func tail(s string) string {
-	const lines = 20
-	all := strings.Split(s, "\n")
-	return strings.Join(all[max(0, len(all)-lines):], "\n")
-}
--- a/internal/kcfleet/fleet_test.go
+++ b/internal/kcfleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
+	"github.com/kingcuprail/kingcuprail/internal/kcprogram"
 	"github.com/kingcuprail/kingcuprail/internal/kcsettings"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 	"github.com/kingcuprail/kingcuprail/pkg/kclog"
@@ -26,7 +27,7 @@
 
 // entry is an entry instance of the fleet.
 type entry struct {
-	*process
+	*kcprogram.Process
 	url, admin, zone string
 }
 
@@ -35,7 +36,7 @@
 type fleet struct {
 	t        *testing.T
 	platform string
-	standin  *process
+	standin  *kcprogram.Process
 
 	mu      sync.Mutex
 	entries []*entry
@@ -49,7 +50,7 @@
 func startFleet(t *testing.T, n int, seed uint64) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
-	p, m := startProcess(t, "standin", platformReady, "kingcuprail-standin",
+	p, m := kcprogram.Start(t, "standin", platformReady, programs["kingcuprail-standin"],
 		"--listen", "127.0.0.1:0", "--seed", fmt.Sprint(seed), "--token-ms", "1")
 	f.standin, f.platform = p, m[1]
 	for range n {
@@ -75,11 +76,11 @@
 	s.Rules = kcsettings.DemoRules()
 	s.Timing.ListPollMs = 100 * kcclock.Millisecond
 	s.Timing.InstanceGoneMs = 500 * kcclock.Millisecond
-	p, m := startProcess(f.t, id, entryReady, "kingcuprail", "serve", "--settings", writeSettings(f.t, s))
+	p, m := kcprogram.Start(f.t, id, entryReady, programs["kingcuprail"], "serve", "--settings", writeSettings(f.t, s))
 	f.put("/standin/list/members", kcmember.Member{ID: id, Role: kcmember.Entry, Addr: m[3], Zone: zone, Region: "region-1"})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = append(f.entries, &entry{process: p, url: "http://" + m[1], admin: "http://" + m[2], zone: zone})
+	f.entries = append(f.entries, &entry{Process: p, url: "http://" + m[1], admin: "http://" + m[2], zone: zone})
 }
 
 // take removes a random instance from those that callers use.
@@ -150,7 +151,7 @@
 			return n
 		}
 	}
-	f.t.Fatalf("%s has no metric %s", e.name, name)
+	f.t.Fatalf("%s has no metric %s", e.Name, name)
 	return 0
 }
 
