--- a/internal/kcprogram/program.go
+++ b/internal/kcprogram/program.go
@@ -22,7 +22,7 @@
 // Build builds the package at pkg into dir and returns the path of the program.
 func Build(dir, pkg string) (string, error) {
 	path := filepath.Join(dir, filepath.Base(dir)+"-"+strings.Trim(strings.ReplaceAll(pkg, "/", "-"), ".-"))
-	out, err := exec.Command("go", "build", "-o", path, pkg).CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", path, pkg).CombinedOutput() //nolint:noctx // a test has its own limit
 	if err != nil {
 		return "", errs.New("build %s: %v\n%s", pkg, err, out)
 	}
@@ -45,13 +45,16 @@
 
 // Start runs a program until the end of the test. It returns once a line of its
 // output matches ready, with the submatches of that line.
-func Start(t testing.TB, name string, ready *regexp.Regexp, path string, args ...string) (*Process, []string) {
-	t.Helper()
-	p := &Process{Name: name, cmd: exec.Command(path, args...), ended: make(chan struct{}), stopping: make(chan struct{})}
+func Start(tb testing.TB, name string, ready *regexp.Regexp, path string, args ...string) (*Process, []string) {
+	tb.Helper()
+	p := &Process{
+		Name: name, cmd: exec.Command(path, args...), //nolint:noctx // ends with the test
+		ended: make(chan struct{}), stopping: make(chan struct{}),
+	}
 	r, w := io.Pipe()
 	p.cmd.Stdout, p.cmd.Stderr = w, w
 	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	found := make(chan []string, 1)
 	go p.read(r, ready, found)
@@ -60,12 +63,12 @@
 		_ = w.Close()
 		close(p.ended)
 	}()
-	t.Cleanup(p.Kill)
+	tb.Cleanup(p.Kill)
 	select {
 	case m := <-found:
 		return p, m
 	case <-p.ended:
-		t.Fatalf("%s ended before it was ready: %v\n%s", name, p.exit, p.Output())
+		tb.Fatalf("%s ended before it was ready: %v\n%s", name, p.exit, p.Output())
 		return nil, nil
 	}
 }
