kcfeed: Share the tries of an instance while the store is away

Change: one follower of an instance asks, the others wait for its success or 5 s. Instances that are not among the first two of their availability zone pause 2.5 times as long; all look every 100 ms for a peer that can read again.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -128,6 +128,7 @@
 	})
 	e.store = &kcplatform.Store{Pool: e.storePool, Addr: opts.Deployment.StoreAddr, Called: e.countCall}
 	e.peers = newPeers(e)
+	outage := &kcfeed.Outage{Clock: clock, First: e.peers.first}
 	follow := func(topic string, wait, pause kcclock.Millis, apply func([]kcfeed.Record, bool, bool)) *kcfeed.Follower {
 		reader := &kcfeed.PeerReader{
 			Store: e.store, Pool: e.storePool, Clock: clock, Log: opts.Log, Peer: e.peers.reader, Lost: e.peers.lost,
@@ -136,6 +137,7 @@
 		return kcfeed.New(kcfeed.Options{
 			Reader: reader, Clock: clock, Log: opts.Log, Topic: topic,
 			WaitMs: wait, PauseMs: pause, ReadMs: readSlackMs, NewestMs: callMs, Apply: apply,
+			Outage: outage, Helped: func() bool { return reader.Helped(topic) },
 		})
 	}
 	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, e.applyOperator)
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -39,6 +39,9 @@
 	failMs = 3000 * kcclock.Millisecond
 	// enterMs is how long an instance waits for the list before it enters.
 	enterMs = 1000 * kcclock.Millisecond
+	// firstAskers is the number of instances of an availability zone that ask
+	// often for a store that is away: one may be gone as well.
+	firstAskers = 2
 	// listMs is how long an instance waits for others to enter the list before
 	// it reads everything from the store. Instances that start together enter
 	// within a few tens of milliseconds and read the list again after
@@ -316,6 +319,20 @@
 	return p.known, p.known && p.own == entry
 }
 
+// first reports whether this instance is among the first in its availability
+// zone to ask the store for others, alive or not.
+func (p *peers) first() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own, ahead := kcset.RendezvousHash(p.e.Deployment.Zone, p.e.Deployment.Instance), 0
+	for name, entry := range p.list {
+		if entry.Zone == p.e.Deployment.Zone && kcset.RendezvousHash(entry.Zone, name) > own {
+			ahead++
+		}
+	}
+	return ahead < firstAskers
+}
+
 // lost notes that the peer at addr did not answer. It may read for others again
 // once it is heard.
 func (p *peers) lost(addr string) {
--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -98,7 +98,9 @@
 	t.Helper()
 	f := &follow{got: make(chan applied, 100), done: make(chan struct{})}
 	f.Follower = kcfeed.New(kcfeed.Options{
-		Reader: reader, Clock: clock, Log: slog.New(slog.DiscardHandler), Topic: "t", WaitMs: 300, PauseMs: pause, ReadMs: 1000, NewestMs: 1000,
+		Reader: reader, Clock: clock, Log: slog.New(slog.DiscardHandler), Topic: "t",
+		WaitMs: 300, PauseMs: pause, ReadMs: 1000, NewestMs: 1000,
+		Outage: &kcfeed.Outage{Clock: clock, First: func() bool { return true }}, Helped: func() bool { return false },
 		Apply: func(records []kcfeed.Record, whole, lapsed bool) {
 			a := applied{whole: whole, lapsed: lapsed}
 			for _, r := range records {
@@ -317,28 +319,44 @@
 	if _, err = p.Read(context.Background(), "t", 1, 0); err != nil || m.calls() != calls+1 {
 		t.Errorf("%v, %d calls of the store with an old peer, want 1", err, m.calls()-calls)
 	}
-	// A peer that is gone is left for the next one, not for the store.
+	// The first record is not kept by the peer any more: the store has it.
 	clock.Advance(600)
-	gone, calls := "127.0.0.1:1", m.calls()
+	if page, err = p.Read(context.Background(), "t", 0, 0); err != nil || len(page.Records) != 2 {
+		t.Errorf("%+v, %v: want both records", page, err)
+	}
+}
+
+// Guards against all instances of an availability zone that ask the store when
+// the one that reads for them is gone.
+func TestPeerReaderAsksTheNextPeer(t *testing.T) {
+	clock, m := kcclock.NewManual(1000), &memory{}
+	m.add("a", "1")
+	f := newFollow(t, m, clock, 100)
+	f.until(clock)
+	m.add("b", "2")
+	f.until(clock)
+	f.stop()
+	<-f.done
+	pool := kcconn.NewPool(kcconn.Options{Clock: clock, DialMs: 1000, UnackedMs: 3000, IdleMs: 4000, MaxIdle: 1})
+	t.Cleanup(pool.Close)
+	addr, gone, calls := relayed(t, f.Follower, clock, m), "127.0.0.1:1", m.calls()
+	age, _ := f.Age(clock.Now())
 	var lost []string
-	p.MaxAgeMs = 10_000
-	p.Peer = func() (string, bool) {
-		if len(lost) > 0 {
-			return addr, true
-		}
-		return gone, true
+	p := &kcfeed.PeerReader{
+		Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler), MaxAgeMs: age + 2000, DirectMs: 500,
+		Peer: func() (string, bool) {
+			if len(lost) > 0 {
+				return addr, true
+			}
+			return gone, true
+		},
+		Lost: func(addr string) { lost = append(lost, addr) },
 	}
-	p.Lost = func(addr string) { lost = append(lost, addr) }
-	if page, err = p.Read(context.Background(), "t", 1, 0); err != nil || m.calls() != calls || len(page.Records) != 1 {
+	page, err := p.Read(context.Background(), "t", 1, 0)
+	if err != nil || m.calls() != calls || len(page.Records) != 1 {
 		t.Errorf("%+v, %v, %d calls of the store while another peer answers", page, err, m.calls()-calls)
 	}
 	if len(lost) != 1 || lost[0] != gone {
 		t.Errorf("lost peers %v, want %s", lost, gone)
 	}
-	p.Peer, p.MaxAgeMs = func() (string, bool) { return addr, true }, 0
-	// The first record is not kept by the peer any more: the store has it.
-	clock.Advance(600)
-	if page, err = p.Read(context.Background(), "t", 0, 0); err != nil || len(page.Records) != 2 {
-		t.Errorf("%+v, %v: want both records", page, err)
-	}
 }
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -72,6 +72,10 @@
 	// which may take several calls.
 	ReadMs   kcclock.Millis
 	NewestMs kcclock.Millis
+	// Outage is shared by the followers of an instance.
+	Outage *Outage
+	// Helped reports whether a peer can be asked instead of the store.
+	Helped func() bool
 	// Apply takes records in the order of the log. whole is true if they are
 	// everything there is, and lapsed if reads failed since the last call.
 	Apply func(records []Record, whole, lapsed bool)
@@ -126,10 +130,11 @@
 			// A store that is silent would hold a call for the wait as well, and
 			// its return would be noticed that much later.
 			lost, wait = true, 0
-			f.wait(ctx, kcclock.Millis(float64(pause)*(0.5+rand.Float64())))
+			f.opts.Outage.wait(ctx, f.opts.Topic, kcclock.Millis(float64(pause)*(0.5+rand.Float64())), f.opts.Helped)
 			pause = min(2*pause, lastPause)
 			continue
 		case lost:
+			f.opts.Outage.end()
 			f.opts.Log.Info("dependency regained", "dependency", "store", "topic", f.opts.Topic, "offset", f.End())
 		}
 		whole, lost, pause, wait = false, false, firstPause, f.opts.WaitMs
--- a/internal/kcfeed/relay.go
+++ b/internal/kcfeed/relay.go
@@ -297,6 +297,15 @@
 	return Page{}, false
 }
 
+// Helped reports whether a peer will be asked for a topic.
+func (p *PeerReader) Helped(topic string) bool {
+	if p.Clock.Now() < p.stateOf(topic).directUntil {
+		return false
+	}
+	_, ok := p.Peer()
+	return ok
+}
+
 func (p *PeerReader) stateOf(topic string) peerState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
