--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -335,8 +335,9 @@
 	return u.failures * math.Exp2(-float64(now-u.failuresAt)/float64(failureHalfMs))
 }
 
-// home returns the upstream at which all instances of an availability zone
-// expect the shared parts of a prompt, unless it is busy.
+// home returns the upstream at which all instances of a region expect the
+// shared parts of a prompt, unless it is busy. One for each availability zone
+// would read the parts once for each.
 func (l *Upstreams) home(w want, list []*upstream) *upstream {
 	if w.prompt.affinity == 0 {
 		return nil
@@ -344,7 +345,7 @@
 	var best *upstream
 	var most uint64
 	for _, u := range list {
-		if u.Zone != l.zone {
+		if u.region != l.region {
 			continue
 		}
 		if h := kcset.Mix(w.prompt.affinity ^ u.seed); best == nil || h > most {
--- a/internal/kcgate/upstreams_test.go
+++ b/internal/kcgate/upstreams_test.go
@@ -141,3 +141,35 @@
 		}
 	}
 }
+
+// Guards against shared parts of prompts that each availability zone reads at
+// an engine of its own, and against prompts that cross regions for that.
+func TestHomeOfPromptsIsOneOfTheRegion(t *testing.T) {
+	clock := kcclock.NewManual(1_000_000)
+	regions := map[string]string{"a": "north", "b": "north", "c": "south"}
+	var all []kctable.Upstream
+	for i, zone := range []string{"a", "a", "a", "b", "b", "b", "c", "c", "c"} {
+		id := zone + itoa(i)
+		all = append(all, kctable.Upstream{ID: id, Service: "s", Address: id, Zone: zone, Version: "v1", Slots: 8, Born: 1})
+	}
+	for group := range 20 {
+		at := map[string]string{}
+		for zone, region := range regions {
+			l := NewUpstreams(clock, zone, regions)
+			l.Replace(all, false)
+			c, ok := l.take(want{service: "s", version: anyVersion, prompt: prompt{
+				model: "m", tokens: 6000, msPerToken: 0.01, affinity: uint64(group)*7919 + 1,
+				parts: []Part{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 1000}},
+			}})
+			switch {
+			case !ok:
+				t.Fatal("no upstream")
+			case regions[c.Zone] != region:
+				t.Errorf("group %d: an instance in %s chose %s in another region", group, zone, c.ID)
+			case at[region] != "" && at[region] != c.ID:
+				t.Errorf("group %d: the region %s reads its parts at %s and %s", group, region, at[region], c.ID)
+			}
+			at[region] = c.ID
+		}
+	}
+}
