--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -205,8 +205,8 @@
 	defer stop()
 	ended := make(chan string)
 	tasks := []task{
-		{"config", e.peers.onceListed(e.config.Run)},
-		{"upstreams", e.peers.onceListed(e.upstreams.Run)},
+		{"config", e.config.Run},
+		{"upstreams", e.upstreams.Run},
 		{"progress", e.progress.Run},
 		{"orders", e.orders.run},
 		{"tell", e.peers.tell},
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -42,11 +42,6 @@
 	// firstAskers is the number of instances of an availability zone that ask
 	// often for a store that is away: one may be gone as well.
 	firstAskers = 2
-	// listMs is how long an instance waits for others to enter the list before
-	// it reads everything from the store. Instances that start together enter
-	// within a few tens of milliseconds and read the list again after
-	// progressPauseMs.
-	listMs = 250 * kcclock.Millisecond
 )
 
 // peerEntry is the entry of an instance in the list that instances share.
@@ -159,32 +154,6 @@
 	}
 }
 
-// onceListed returns run with a start that waits until the list of instances
-// tells who can read for this one, but not longer than listMs.
-func (p *peers) onceListed(run func(ctx context.Context)) func(ctx context.Context) {
-	return func(ctx context.Context) {
-		clock := kcclock.Boot{}
-		for until := clock.Now() + listMs; p.conn != nil && clock.Now() < until && !p.listed(); {
-			if kcclock.Wait(ctx, clock, tellMs) != nil {
-				return
-			}
-		}
-		run(ctx)
-	}
-}
-
-// listed reports whether other instances of the availability zone are known.
-func (p *peers) listed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, entry := range p.list {
-		if entry.Zone == p.e.Deployment.Zone {
-			return p.known
-		}
-	}
-	return false
-}
-
 func (p *peers) failing(now kcclock.Millis) bool { return p.failedAt != 0 && now-p.failedAt < failMs }
 
 // reads reports whether this instance can read the store for others.
--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -360,3 +360,27 @@
 		t.Errorf("lost peers %v, want %s", lost, gone)
 	}
 }
+
+// Guards against an instance that waits for peers which are gone while callers
+// wait for its start, as after a loss of all instances.
+func TestStartDoesNotWaitForLostPeers(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	m, clock := &memory{}, kcclock.System{}
+	m.add("a", "1")
+	pool := kcconn.NewPool(kcconn.Options{Clock: clock, DialMs: 1000, UnackedMs: 3000, IdleMs: 4000, MaxIdle: 1})
+	t.Cleanup(pool.Close)
+	p := &kcfeed.PeerReader{
+		Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler), MaxAgeMs: 1000, DirectMs: 500,
+		Peer: func() (string, bool) { return silent.Addr().String(), true }, Lost: func(string) {},
+	}
+	began := clock.Now()
+	page, err := p.Newest(context.Background(), "t")
+	// Callers wait 300 ms for the records of two topics that are read at once.
+	if took := clock.Now() - began; err != nil || len(page.Records) != 1 || took > 200 {
+		t.Errorf("%+v, %v after %d ms, want the record from the store within 200 ms", page, err, took)
+	}
+}
--- a/internal/kcfeed/relay.go
+++ b/internal/kcfeed/relay.go
@@ -241,7 +241,7 @@
 
 // Newest returns the newest record of each key.
 func (p *PeerReader) Newest(ctx context.Context, topic string) (Page, error) {
-	page, ok := p.fromPeer(ctx, topic, newestOnly, 0)
+	page, ok := p.fromPeer(ctx, topic, newestOnly, 0, newestCallMs, 1)
 	switch {
 	case ok:
 		return page, nil
@@ -253,7 +253,7 @@
 
 // Read returns the records from an offset on.
 func (p *PeerReader) Read(ctx context.Context, topic string, from int64, wait kcclock.Millis) (Page, error) {
-	page, ok := p.fromPeer(ctx, topic, from, min(wait, peerWaitMs))
+	page, ok := p.fromPeer(ctx, topic, from, min(wait, peerWaitMs), peerCallMs, peerTries)
 	switch {
 	case ok:
 		return page, nil
@@ -265,7 +265,10 @@
 
 // fromPeer reads from the peer that reads for this instance, and from the next
 // one if that does not answer. It returns false if the store has to be asked.
-func (p *PeerReader) fromPeer(ctx context.Context, topic string, from int64, wait kcclock.Millis) (Page, bool) {
+// limit bounds a call beyond its wait.
+func (p *PeerReader) fromPeer(
+	ctx context.Context, topic string, from int64, wait, limit kcclock.Millis, tries int,
+) (Page, bool) {
 	state := p.stateOf(topic)
 	if p.Clock.Now() < state.directUntil {
 		return Page{}, false
@@ -273,13 +276,13 @@
 	// The older the last answer, the sooner the next one has to come.
 	left := state.confirmedAt + p.MaxAgeMs - p.Clock.Now()
 	wait = min(wait, max(left, shortWaitMs))
-	for range peerTries {
+	for range tries {
 		addr, ok := p.Peer()
 		if !ok {
 			return Page{}, false
 		}
 		asked := p.Clock.Now()
-		page, err := p.ask(ctx, addr, topic, from, wait)
+		page, err := p.ask(ctx, addr, topic, from, wait, limit)
 		if err == nil && page.AgeMs <= p.MaxAgeMs {
 			p.setState(topic, peerState{confirmedAt: p.Clock.Now() - page.AgeMs})
 			return page, true
@@ -328,6 +331,9 @@
 	// shortWaitMs is the wait at a peer whose word gets too old: a store that
 	// answers confirms it within that time.
 	shortWaitMs = 100 * kcclock.Millisecond
+	// newestCallMs bounds the call of a peer for the newest records. An instance
+	// that starts does not know which peers are alive, and callers wait for it.
+	newestCallMs = 80 * kcclock.Millisecond
 	// peerTries is the number of peers that are asked before the store.
 	peerTries = 2
 	// peerCallMs bounds a call of a peer beyond its wait: peers are in the same
@@ -335,9 +341,11 @@
 	peerCallMs = 250 * kcclock.Millisecond
 )
 
-func (p *PeerReader) ask(ctx context.Context, addr, topic string, from int64, wait kcclock.Millis) (Page, error) {
+func (p *PeerReader) ask(
+	ctx context.Context, addr, topic string, from int64, wait, limit kcclock.Millis,
+) (Page, error) {
 	page := Page{End: from, WaitedMs: wait}
-	ctx, cancel := kcclock.WithTimeout(ctx, p.Clock, wait+peerCallMs)
+	ctx, cancel := kcclock.WithTimeout(ctx, p.Clock, wait+limit)
 	defer cancel()
 	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "waitMs": {strconv.FormatInt(int64(wait), 10)}}
 	resp, err := p.Pool.Do(ctx, addr, &kcconn.Request{
