--- a/internal/kcgate/gate_test.go
+++ b/internal/kcgate/gate_test.go
@@ -113,6 +113,19 @@
 	if want := event(1) + event(2) + event(3) + event(4); err != nil || resp.StatusCode != http.StatusOK || body != want {
 		t.Errorf("%v %q %v: want %q", resp, body, err, want)
 	}
+	for name, wrong := range map[string]string{"gap": event(4), "repeat": event(2)} {
+		serve := func(_ int, req *http.Request, _ string, w net.Conn) bool {
+			if req.Header.Get("Last-Event-Id") == "" {
+				return stream(w, req, "", event(1), event(2), wrong, event(5)) && write(w, lastChunk)
+			}
+			return stream(w, req, "", event(3), event(4)) && write(w, lastChunk)
+		}
+		f := newFixture(t, []kctable.Route{route("a", kctable.Stream)}, newEngine(t, serve), newEngine(t, serve))
+		_, body, err := f.ask(t, "/a/x")
+		if want := event(1) + event(2) + event(3) + event(4); err != nil || body != want {
+			t.Errorf("%s in the events: %q %v: want %q", name, body, err, want)
+		}
+	}
 	once := route("a", kctable.Stream)
 	once.Resumable = false
 	f = newFixture(t, []kctable.Route{once}, newEngine(t, serve), newEngine(t, serve))
