kcedge: Believe the reader only until a change would come too late

Cause, by reading: since the word of the instance that reads for an availability zone counted for 3.2 s, the others could learn of a configuration 3.5 s after its change if that instance was cut off from the store unseen; the bound is 2.5 s on the small sites.

Change: the age follows the bounds, per topic. A read of the configuration waits 1.3 s instead of 1.5 s, so that a reader with a slow store is still trusted.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -48,10 +48,10 @@
 	upstreamIdleMs = 4000 * kcclock.Millisecond
 	// maxIdle is the number of idle connections per upstream.
 	maxIdle = 16
-	// configWaitMs is how long a read of the configuration waits. A key that
-	// was removed is then known to be valid no longer than 2.5 s ago, half of
-	// the shortest time in which that must take effect.
-	configWaitMs = 1500 * kcclock.Millisecond
+	// configWaitMs is how long a read of the configuration waits. With the call
+	// of a slow store it is below the age at which others stop to believe the
+	// one that reads, 2 s in the known deployments.
+	configWaitMs = 1300 * kcclock.Millisecond
 	// upstreamWaitMs is how long a read of the list of upstreams waits. A
 	// connection that went silent is then noticed within 3.2 s, before the
 	// instance counts as in touch again.
@@ -69,15 +69,9 @@
 	// slowest days that were announced.
 	callMs = 1200 * kcclock.Millisecond
 	// readSlackMs bounds a read of the store beyond its wait. The reader of an
-	// availability zone has then asked again before peerAgeMs.
+	// availability zone has then asked again before the others stop to believe
+	// it.
 	readSlackMs = 500 * kcclock.Millisecond
-	// peerAgeMs is the age from which the word of the instance that reads for
-	// others is not enough: it comes before an instance counts as in touch
-	// again, 4 s in the known deployments, by a call of the slowest store.
-	peerAgeMs = 3200 * kcclock.Millisecond
-	// revokeSlackMs is the time for such a call and for the margin at which
-	// keys are too old to be accepted.
-	revokeSlackMs = 1800 * kcclock.Millisecond
 	// directMs is how long the store is read directly after that.
 	directMs = 1500 * kcclock.Millisecond
 	// sweepMs is the time between sweeps of idle connections.
@@ -129,10 +123,11 @@
 	e.store = &kcplatform.Store{Pool: e.storePool, Addr: opts.Deployment.StoreAddr, Called: e.countCall}
 	e.peers = newPeers(e)
 	outage := &kcfeed.Outage{Clock: clock, First: e.peers.first}
-	follow := func(topic string, wait, pause kcclock.Millis, apply func([]kcfeed.Record, bool, bool)) *kcfeed.Follower {
+	ages := newPeerAges(opts.Deployment.Bounds)
+	follow := func(topic string, wait, pause, maxAge kcclock.Millis, apply func([]kcfeed.Record, bool, bool)) *kcfeed.Follower {
 		reader := &kcfeed.PeerReader{
 			Store: e.store, Pool: e.storePool, Clock: clock, Log: opts.Log, Peer: e.peers.reader, Lost: e.peers.lost,
-			MaxAgeMs: peerAge(opts.Deployment.Bounds), DirectMs: directMs,
+			MaxAgeMs: maxAge, DirectMs: directMs,
 		}
 		return kcfeed.New(kcfeed.Options{
 			Reader: reader, Clock: clock, Log: opts.Log, Topic: topic,
@@ -140,9 +135,9 @@
 			Outage: outage, Helped: func() bool { return reader.Helped(topic) },
 		})
 	}
-	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, e.applyOperator)
-	e.upstreams = follow(kcplatform.TopicUpstreams, upstreamWaitMs, upstreamPauseMs, e.applyUpstreams)
-	e.progress = follow(kcplatform.TopicProgress, progressWaitMs, progressPauseMs, e.applyProgress)
+	e.config = follow(kcplatform.TopicOperator, configWaitMs, 0, ages.config, e.applyOperator)
+	e.upstreams = follow(kcplatform.TopicUpstreams, upstreamWaitMs, upstreamPauseMs, ages.upstreams, e.applyUpstreams)
+	e.progress = follow(kcplatform.TopicProgress, progressWaitMs, progressPauseMs, ages.progress, e.applyProgress)
 	e.gate = kcgate.New(kcgate.Options{
 		Deployment: opts.Deployment, Codec: kcplatform.Codec{}, Pool: e.pool, Clock: clock, Wall: kcclock.System{},
 		Log: opts.Log, Metrics: e.metrics, ConfigAge: e.config.Age, ProgressAge: e.progress.Age,
@@ -151,15 +146,6 @@
 	return e
 }
 
-// peerAge returns the age from which the word of the instance that reads for
-// others is not enough.
-func peerAge(b kctable.Bounds) kcclock.Millis {
-	if b.RevokeMs <= 0 {
-		return peerAgeMs
-	}
-	return min(peerAgeMs, b.RevokeMs-revokeSlackMs)
-}
-
 func (e *Edge) countDial(_ string, err error) {
 	if err != nil {
 		e.metrics.Count("upstream.dialFailed")
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -162,7 +162,7 @@
 	age, known := p.e.config.Age(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return known && age < peerAge(p.e.Deployment.Bounds) && !p.failing(now)
+	return known && age < peerAgeMs && !p.failing(now)
 }
 
 // evidencePath takes the evidence of peers in the same availability zone.
