kcfeed: Leave time for the store when peers are silent

Cause, by reading: a read of a topic is bounded by its wait and 0.5 s, but two silent peers could take 2.5 s of it. The store was then taken for lost, and an instance paused before it asked. A peer that gave up after 80 ms also cancelled the read of the newest records that others waited for.

Change: the second peer is asked without a wait, the time that peers take is part of the wait at the store, and a shared read goes on without its first caller. TestSilentPeersLeaveTimeForTheStore fails before.

--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -384,3 +384,29 @@
 		t.Errorf("%+v, %v after %d ms, want the record from the store within 200 ms", page, err, took)
 	}
 }
+
+// Guards against a store that is taken for lost because silent peers have used
+// up the time of a read.
+func TestSilentPeersLeaveTimeForTheStore(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	m, clock := &memory{}, kcclock.System{}
+	m.add("a", "1")
+	pool := kcconn.NewPool(kcconn.Options{Clock: clock, DialMs: 1000, UnackedMs: 3000, IdleMs: 4000, MaxIdle: 1})
+	t.Cleanup(pool.Close)
+	p := &kcfeed.PeerReader{
+		Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler), MaxAgeMs: 1000, DirectMs: 500,
+		Peer: func() (string, bool) { return silent.Addr().String(), true }, Lost: func(string) {},
+	}
+	const wait = 300 * kcclock.Millisecond
+	// 500 ms beyond the wait is the limit of a read.
+	ctx, cancel := kcclock.WithTimeout(context.Background(), clock, wait+500)
+	defer cancel()
+	page, err := p.Read(ctx, "t", 0, wait)
+	if err != nil || len(page.Records) != 1 || m.wait != 0 {
+		t.Errorf("%+v, %v, wait %d at the store: want the record without another wait", page, err, m.wait)
+	}
+}
--- a/internal/kcfeed/follower.go
+++ b/internal/kcfeed/follower.go
@@ -72,7 +72,7 @@
 	// which may take several calls.
 	ReadMs   kcclock.Millis
 	NewestMs kcclock.Millis
-	// Outage is shared by the followers of an instance.
+	// Outage is shared by the followers of an instance. It is needed.
 	Outage *Outage
 	// Helped reports whether a peer can be asked instead of the store.
 	Helped func() bool
--- a/internal/kcfeed/relay.go
+++ b/internal/kcfeed/relay.go
@@ -32,6 +32,8 @@
 	// given to peers: instances that start, or that need records which the
 	// store has dropped, come within a few seconds.
 	sharedMs = 3000 * kcclock.Millisecond
+	// sharedCallMs bounds that read: three pages of the slowest store.
+	sharedCallMs = 1200 * kcclock.Millisecond
 )
 
 // recent keeps the newest records of a topic for peers.
@@ -138,6 +140,9 @@
 	defer s.mu.Unlock()
 	now := r.Clock.Now()
 	if s.askedAt == 0 || now-s.askedAt > sharedMs {
+		// The next peer can use what the first one does not wait for.
+		ctx, cancel := kcclock.WithTimeout(context.WithoutCancel(ctx), r.Clock, sharedCallMs)
+		defer cancel()
 		page, err := r.Store.Newest(ctx, topic)
 		if err != nil {
 			return Page{}, 0, err
@@ -241,7 +246,7 @@
 
 // Newest returns the newest record of each key.
 func (p *PeerReader) Newest(ctx context.Context, topic string) (Page, error) {
-	page, ok := p.fromPeer(ctx, topic, newestOnly, 0, newestCallMs, 1)
+	page, ok := p.fromPeer(ctx, topic, newestOnly, 0, []kcclock.Millis{newestCallMs})
 	switch {
 	case ok:
 		return page, nil
@@ -253,21 +258,23 @@
 
 // Read returns the records from an offset on.
 func (p *PeerReader) Read(ctx context.Context, topic string, from int64, wait kcclock.Millis) (Page, error) {
-	page, ok := p.fromPeer(ctx, topic, from, min(wait, peerWaitMs), peerCallMs, peerTries)
+	began := p.Clock.Now()
+	page, ok := p.fromPeer(ctx, topic, from, min(wait, peerWaitMs), []kcclock.Millis{peerCallMs, nextCallMs})
 	switch {
 	case ok:
 		return page, nil
 	case ctx.Err() != nil:
 		return page, context.Cause(ctx)
 	}
-	return p.Store.Read(ctx, topic, from, wait)
+	// The time that peers have taken is part of the wait.
+	return p.Store.Read(ctx, topic, from, max(wait-(p.Clock.Now()-began), 0))
 }
 
 // fromPeer reads from the peer that reads for this instance, and from the next
 // one if that does not answer. It returns false if the store has to be asked.
-// limit bounds a call beyond its wait.
+// limits holds a bound for each call, beyond its wait.
 func (p *PeerReader) fromPeer(
-	ctx context.Context, topic string, from int64, wait, limit kcclock.Millis, tries int,
+	ctx context.Context, topic string, from int64, wait kcclock.Millis, limits []kcclock.Millis,
 ) (Page, bool) {
 	state := p.stateOf(topic)
 	if p.Clock.Now() < state.directUntil {
@@ -276,7 +283,7 @@
 	// The older the last answer, the sooner the next one has to come.
 	left := state.confirmedAt + p.MaxAgeMs - p.Clock.Now()
 	wait = min(wait, max(left, shortWaitMs))
-	for range tries {
+	for _, limit := range limits {
 		addr, ok := p.Peer()
 		if !ok {
 			return Page{}, false
@@ -295,6 +302,7 @@
 			break
 		}
 		p.Lost(addr)
+		wait = 0
 	}
 	p.setState(topic, peerState{directUntil: p.Clock.Now() + p.DirectMs})
 	return Page{}, false
@@ -334,11 +342,12 @@
 	// newestCallMs bounds the call of a peer for the newest records. An instance
 	// that starts does not know which peers are alive, and callers wait for it.
 	newestCallMs = 80 * kcclock.Millisecond
-	// peerTries is the number of peers that are asked before the store.
-	peerTries = 2
 	// peerCallMs bounds a call of a peer beyond its wait: peers are in the same
-	// availability zone, a millisecond away.
+	// availability zone, a millisecond away. nextCallMs is the same for the peer
+	// that is asked if the first one does not answer; both together leave time
+	// for a call of the store.
 	peerCallMs = 250 * kcclock.Millisecond
+	nextCallMs = 100 * kcclock.Millisecond
 )
 
 func (p *PeerReader) ask(
