--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -38,11 +37,6 @@
 const (
 	// elsewhereMs lets a caller reach another instance at once.
 	elsewhereMs = 100 * kcclock.Millisecond
-	// outageMs is proposed, and up to twice that, where no instance of the region
-	// can read the store: one that has been away for the time in which keys get
-	// too old mostly stays away for some seconds more. The spread keeps the
-	// callers from coming back at once.
-	outageMs = 2000 * kcclock.Millisecond
 	// configRetryMs is about the time to read the first configuration where the
 	// store answers late.
 	configRetryMs = 500 * kcclock.Millisecond
@@ -146,7 +140,7 @@
 		ws, known := x.table.Workspaces[ask.Key]
 		switch {
 		case !fresh:
-			return x.refuse(http.StatusServiceUnavailable, reasonStaleKeys, outageRetry())
+			return x.refuse(http.StatusServiceUnavailable, reasonStaleKeys, elsewhereMs)
 		case !known:
 			return x.refuse(http.StatusUnauthorized, reasonUnknownKey, 0)
 		}
@@ -233,10 +227,6 @@
 	return context.WithTimeoutCause(x.r.Context(), left, cause)
 }
 
-// outageRetry returns when a caller should come back during an outage of the
-// store. Other instances do not help: this one would read from one that can.
-func outageRetry() kcclock.Millis { return outageMs + rand.N(outageMs) }
-
 // refuse answers with a status of our own. It returns false for the use as a
 // result of admit.
 func (x *exchange) refuse(status int, reason string, retryAfter kcclock.Millis) bool {
