platform: Let the newest records take as long as they arrive

The read of all keys was bounded by 1.2 s; a list of 3,000 upstreams takes about that on a link of 10 Mbit/s, so it was given up and asked for again and again. By calculation; no trace of single calls at that size.

Change: such a read ends when it stands still for 1.2 s, or after 5 s.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -72,6 +72,9 @@
 	// availability zone has then asked again before the others stop to believe
 	// it.
 	readSlackMs = 500 * kcclock.Millisecond
+	// newestMs bounds the read of all keys of a topic: 6 MB on the slowest link
+	// of the known deployments, 10 Mbit/s. A call that stands still ends sooner.
+	newestMs = 5000 * kcclock.Millisecond
 	// directMs is how long the store is read directly after that.
 	directMs = 1500 * kcclock.Millisecond
 	// sweepMs is the time between sweeps of idle connections.
@@ -131,7 +134,7 @@
 		}
 		return kcfeed.New(kcfeed.Options{
 			Reader: reader, Clock: clock, Log: opts.Log, Topic: topic,
-			WaitMs: wait, PauseMs: pause, ReadMs: readSlackMs, NewestMs: callMs, Apply: apply,
+			WaitMs: wait, PauseMs: pause, ReadMs: readSlackMs, NewestMs: newestMs, Apply: apply,
 			Outage: outage, Helped: func() bool { return reader.Helped(topic) },
 		})
 	}
