--- a/internal/kcsoak/soak_test.go
+++ b/internal/kcsoak/soak_test.go
@@ -64,7 +64,7 @@
 const settings = `node_name: %s
 ip: 127.0.0.1
 zone: %s
-region: r1
+region: %s
 zones: {za: r1, zb: r1, zc: r2}
 listen: {front: "127.0.0.1:%d", readiness_addr: "127.0.0.1:%d"}
 port_range: [%d, %d]
@@ -217,7 +217,8 @@
 	front, readiness, peer := freePort(d.t), freePort(d.t), freePort(d.t)
 	i.front, i.ready = fmt.Sprintf("127.0.0.1:%d", front), fmt.Sprintf("127.0.0.1:%d", readiness)
 	i.settings = filepath.Join(d.t.TempDir(), "settings.yaml")
-	text := fmt.Sprintf(settings, i.name, []string{"za", "za", "zb", "zc"}[n%4], front, readiness, peer, peer+1, i.store.addr)
+	place := [][2]string{{"za", "r1"}, {"za", "r1"}, {"zb", "r1"}, {"zc", "r2"}}[n%4]
+	text := fmt.Sprintf(settings, i.name, place[0], place[1], front, readiness, peer, peer+1, i.store.addr)
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
