kcgate: Let a session go on from the end of its last answer

The pin of a session was set at the first event of a stream; with streams of several seconds the next request came more than 5 s after it, though less than 5 s after the end of the answer.

Change: the pin is renewed at the end of a stream. TestSessionGoesOnFromTheEndOfAStream fails before.

--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -145,6 +145,13 @@
 // stream, and otherwise how it broke off. last is the id of the last event
 // that was passed on.
 func (x *exchange) relay(ctx context.Context, c *choice, resp *kcconn.Response, last *int64) error {
+	// A session goes on from the end of its answer, which may be long after its
+	// start.
+	defer func() {
+		if x.started {
+			x.g.Orders.note(x.ask.Session, c.Version)
+		}
+	}()
 	rd := newEventReader(resp.Body)
 	gap := x.gapMs()
 	began := kcclock.Millis(0)
