kcgate: Log the session of a request and the reason for its version

When a session changed its version, the logs did not tell which request came before, or why this one got its version. The line of a request now holds the session, and each send the reason for its version with the last known version of the session and its age. Counters versions.REASON.

No change of logic.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -123,8 +123,10 @@
 	if key == "" {
 		key = x.ask.ID
 	}
+	x.permit = x.g.Orders.allow(x.service, key, have)
+	x.g.Metrics.Count("versions." + x.permit.reason)
 	return x.g.Upstreams.take(want{
-		service: x.service, version: x.g.Orders.allow(x.service, key, have),
+		service: x.service, version: x.permit.allows,
 		tried: tried, prompt: x.prompt(model), holdMs: x.holdMs(),
 		part: func(version string) float64 { return x.g.Orders.part(x.service, version) },
 	})
@@ -154,7 +156,7 @@
 // try sends the request to one upstream and passes its answer on.
 func (x *exchange) try(ctx context.Context, c *choice, model string) verdict {
 	now := x.g.Clock.Now()
-	x.sends = append(x.sends, send{upstream: c.ID, version: c.Version, model: model, load: c.load, at: now, confidence: -1})
+	x.sends = append(x.sends, send{upstream: c.ID, version: c.Version, model: model, load: c.load, permit: x.permit, at: now, confidence: -1})
 	x.slow, x.timed = false, false
 	last := len(x.sends) - 1
 	end := func(e execution, detail string) {
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -148,18 +149,56 @@
 	return 1
 }
 
+// Reasons for the version of a request, as in logs and metrics.
+const (
+	// byBase: there is no order.
+	byBase = "base"
+	// byState: the state of the order leaves one version.
+	byState = "state"
+	// byUpstreams: the target has too few upstreams, or the others have none.
+	byUpstreams = "upstreams"
+	// byPin: the session was served lately.
+	byPin = "pin"
+	// byShare: the share of the target decides for a session without a version.
+	byShare = "share"
+)
+
+// permit is which versions may run a request, and why.
+type permit struct {
+	allows func(version string) bool
+	reason string
+	// pin is the last known version of the session, empty if there is none, and
+	// pinAgeMs its age.
+	pin      string
+	pinAgeMs kcclock.Millis
+}
+
+// String renders the reason for the log.
+func (p permit) String() string {
+	if p.pin == "" {
+		return p.reason
+	}
+	return p.reason + "/" + p.pin + "/" + strconv.FormatInt(int64(p.pinAgeMs), 10) + "ms"
+}
+
 // allow returns which versions of a service may run a request of a session.
-func (o *Orders) allow(service, session string, have versions) func(string) bool {
+func (o *Orders) allow(service, session string, have versions) permit {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	p := permit{reason: byState}
+	if known, ok := o.pins[session]; ok && session != "" {
+		p.pin, p.pinAgeMs = known.version, o.opts.Clock.Now()-known.at
+	}
 	s := o.services[service]
 	if s == nil || s.order.Offset < 0 && !s.known && s.progress.Target == "" {
-		return o.allowBase(service, have)
+		p.allows, p.reason = o.allowBase(service, have), byBase
+		return p
 	}
 	target := s.order.Target
 	if s.order.Offset < 0 {
 		// The progress was read before the order.
-		return func(v string) bool { return (v != s.progress.Target) || s.progress.Stage == kctable.Complete }
+		p.allows = func(v string) bool { return (v != s.progress.Target) || s.progress.Stage == kctable.Complete }
+		return p
 	}
 	d := kcrollout.Decide(o.view(s))
 	targets, others := have.counts[target], 0
@@ -170,32 +209,35 @@
 	}
 	toTarget := d.Only
 	switch {
-	case d.Only, d.Never || targets == 0:
+	case d.Only, d.Never:
+	case targets == 0:
+		p.reason = byUpstreams
 	case others == 0:
-		toTarget = true
+		toTarget, p.reason = true, byUpstreams
 	case !s.opened && targets*readyPart < others:
 		// The target is still starting: a request that fails there would find
 		// no second upstream.
+		p.reason = byUpstreams
 	default:
 		s.opened = true
-		toTarget = o.forTarget(session, target, d)
+		toTarget, p.reason = o.forTarget(session, target, p, d)
 	}
-	return func(v string) bool { return (v == target) == toTarget }
+	p.allows = func(v string) bool { return (v == target) == toTarget }
+	return p
 }
 
-// forTarget reports whether a session goes to the target of an order that runs.
-// A session that was served lately stays, unless sessions may move.
-func (o *Orders) forTarget(session, target string, d kcrollout.Decision) bool {
-	p, ok := o.pins[session]
-	if ok && session != "" && o.opts.Clock.Now()-p.at < o.opts.Deployment.Bounds.SessionMs {
-		if p.version == target {
-			return true
+// forTarget reports whether a session goes to the target of an order that runs,
+// and why. A session that was served lately stays, unless sessions may move.
+func (o *Orders) forTarget(session, target string, p permit, d kcrollout.Decision) (toTarget bool, reason string) {
+	if p.pin != "" && p.pinAgeMs < o.opts.Deployment.Bounds.SessionMs {
+		if p.pin == target {
+			return true, byPin
 		}
 		if !d.Move {
-			return false
+			return false, byPin
 		}
 	}
-	return point(session) < d.Share
+	return point(session) < d.Share, byShare
 }
 
 // allowBase keeps a service without an order on one version: an order for a
--- a/internal/kcgate/orders_test.go
+++ b/internal/kcgate/orders_test.go
@@ -35,7 +35,7 @@
 	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
 	session := canarySession()
 	goes := func(targets int) bool {
-		return o.allow("s", session, versions{counts: map[string]int{"v1": 12, "v2": targets}, first: "v1"})("v2")
+		return o.allow("s", session, versions{counts: map[string]int{"v1": 12, "v2": targets}, first: "v1"}).allows("v2")
 	}
 	if goes(1) {
 		t.Error("a session goes to a target with one upstream of twelve")
@@ -58,16 +58,16 @@
 	o.note(session, "v1")
 	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
 	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
-	if o.allow("s", session, have)("v2") {
+	if o.allow("s", session, have).allows("v2") {
 		t.Error("a session that began at the old version moves in the first step")
 	}
 	clock.Advance(5001)
-	if !o.allow("s", session, have)("v2") {
+	if !o.allow("s", session, have).allows("v2") {
 		t.Error("the session is over, but does not go to the target")
 	}
 	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3, Step: 1})
 	for i := range 50 {
-		if !o.allow("s", fmt.Sprint(i), have)("v2") {
+		if !o.allow("s", fmt.Sprint(i), have).allows("v2") {
 			t.Errorf("session %d stays at the old version in the last step", i)
 		}
 	}
@@ -81,7 +81,7 @@
 		{counts: map[string]int{"v1": 2, "v2": 9}, first: "v1"},
 		{counts: map[string]int{"v1": 1, "v2": 12}, first: "v2"},
 	} {
-		if allow := o.allow("s", "x", have); allow("v2") || !allow("v1") {
+		if allow := o.allow("s", "x", have).allows; allow("v2") || !allow("v1") {
 			t.Errorf("%+v: want v1 alone", have)
 		}
 	}
--- a/internal/kcgate/report.go
+++ b/internal/kcgate/report.go
@@ -2,6 +2,10 @@
 
 import "log/slog"
 
+// maxSessionLog is the length in bytes to which the name of a session is
+// logged: callers choose it.
+const maxSessionLog = 64
+
 // report writes the line of a request to the log and counts it.
 func (x *exchange) report() {
 	took := x.g.Clock.Now() - x.received
@@ -19,6 +23,9 @@
 		slog.Int("status", x.status), slog.Int64("ms", int64(took)),
 		slog.Int64("config", version), slog.Int64("configAgeMs", int64(x.configAge)),
 	}
+	if x.ask.Session != "" {
+		attrs = append(attrs, slog.String("session", x.ask.Session[:min(len(x.ask.Session), maxSessionLog)]))
+	}
 	if x.firstEvent > 0 {
 		first := x.firstEvent - x.received
 		x.g.Metrics.Observe("firstEventMs", first)
--- a/internal/kcgate/sends.go
+++ b/internal/kcgate/sends.go
@@ -25,7 +25,9 @@
 	version  string
 	model    string
 	// load is the estimate of running and waiting requests at the choice.
-	load      int
+	load int
+	// permit is the reason for the version.
+	permit    permit
 	at        kcclock.Millis
 	tookMs    kcclock.Millis
 	execution execution
@@ -59,7 +61,7 @@
 		if i > 0 {
 			b.WriteByte(';')
 		}
-		fmt.Fprintf(&b, "%s,%s,%s,load=%d,%s,%dms", x.upstream, x.version, x.model, x.load, x.execution, x.tookMs)
+		fmt.Fprintf(&b, "%s,%s,by=%s,%s,load=%d,%s,%dms", x.upstream, x.version, x.permit, x.model, x.load, x.execution, x.tookMs)
 		if x.confidence >= 0 {
 			fmt.Fprintf(&b, ",confidence=%d", x.confidence)
 		}
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -79,6 +79,8 @@
 	// configAge is the age of the configuration at admission.
 	configAge kcclock.Millis
 	sends     sendRecord
+	// permit is what decided the version of the last choice.
+	permit permit
 	// reserved is true if a repeat was taken from the budget and not used.
 	reserved bool
 	// events is the number of events of the last try.
