kcgate: Keep the versions of a session apart by service

Callers saw a session move to the target of an order in its first step because another service served the same session with a version of that name. The version of a session was kept by its name alone; it is kept by service and name now, so that only answers of a service decide for it.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -295,6 +295,8 @@
 	}
 }
 
+func (x *exchange) session() sessionKey { return sessionKey{x.service, x.ask.Session} }
+
 // newSend returns the record of a try that begins.
 func (x *exchange) newSend(c *choice, model string, now kcclock.Millis) send {
 	return send{upstream: c.ID, version: c.Version, model: model, load: c.load, permit: x.permit, at: now, confidence: -1}
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -20,15 +20,6 @@
 // the other version when it gets its first requests.
 const readyPart = 2
 
-// maxPins bounds the memory for sessions.
-const maxPins = 20_000
-
-// pin is the version that the last answer of a session came from.
-type pin struct {
-	version string
-	at      kcclock.Millis
-}
-
 // serviceOrder is the state of the order of one service.
 type serviceOrder struct {
 	order    kctable.Order
@@ -66,14 +57,14 @@
 	services map[string]*serviceOrder
 	// base is the version of services without an order.
 	base map[string]string
-	pins map[string]pin
+	pins map[sessionKey]pin
 }
 
 // NewOrders returns an empty set.
 func NewOrders(opts Options) *Orders {
 	return &Orders{
 		opts: opts, services: make(map[string]*serviceOrder),
-		base: make(map[string]string), pins: make(map[string]pin),
+		base: make(map[string]string), pins: make(map[sessionKey]pin),
 	}
 }
 
@@ -185,7 +176,7 @@
 func (o *Orders) allow(service, session string, have versions) permit {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	p := o.lastVersion(session)
+	p := o.lastVersion(sessionKey{service, session})
 	s := o.services[service]
 	if s == nil || s.order.Offset < 0 && !s.known && s.progress.Target == "" {
 		p.allows, p.reason = o.allowBase(service, have), byBase
@@ -223,15 +214,6 @@
 	return p
 }
 
-// lastVersion returns a permit with the last known version of a session.
-func (o *Orders) lastVersion(session string) permit {
-	known, ok := o.pins[session]
-	if !ok {
-		return permit{reason: byState}
-	}
-	return permit{reason: byState, pin: known.version, pinAgeMs: o.opts.Clock.Now() - known.at}
-}
-
 // forTarget reports whether a session goes to the target of an order that runs,
 // and why. A session that was served lately stays, unless sessions may move.
 func (o *Orders) forTarget(session, target string, p permit, d kcrollout.Decision) (toTarget bool, reason string) {
@@ -256,33 +238,6 @@
 	return func(v string) bool { return v == base }
 }
 
-// point maps a session, or a request without one, to a number from 0 to 1 on
-// which all instances agree.
-func point(key string) float64 {
-	return float64(kcset.RendezvousHash(key, "")>>11) / (1 << 53)
-}
-
-// note records the version that a session is served by.
-func (o *Orders) note(session, version string) {
-	if session == "" {
-		return
-	}
-	now := o.opts.Clock.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if len(o.pins) >= maxPins {
-		for k, p := range o.pins {
-			if now-p.at >= o.opts.Deployment.Bounds.SessionMs {
-				delete(o.pins, k)
-			}
-		}
-		if len(o.pins) >= maxPins {
-			clear(o.pins)
-		}
-	}
-	o.pins[session] = pin{version, now}
-}
-
 // count adds an answer of an upstream to the evidence of an order that runs.
 func (o *Orders) count(service string, c *choice, stratum string, signal kcrollout.Signal, bad bool) {
 	o.mu.Lock()
--- a/internal/kcgate/orders_test.go
+++ b/internal/kcgate/orders_test.go
@@ -55,7 +55,7 @@
 	o := newTestOrders(clock)
 	session := canarySession()
 	have := versions{counts: map[string]int{"v1": 12, "v2": 12}, first: "v1"}
-	o.note(session, "v1")
+	o.note(sessionKey{"s", session}, "v1")
 	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
 	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
 	if o.allow("s", session, have).allows("v2") {
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -44,7 +44,7 @@
 		x.judge(c, "answer/"+x.route.Name, float64(took), plainSlow)
 		x.g.Upstreams.release(c, good)
 		x.count(c, false)
-		x.g.Orders.note(x.ask.Session, c.Version)
+		x.g.Orders.note(x.session(), c.Version)
 	}
 	x.copyHead(resp)
 	if len(body) <= maxHeldBytes {
@@ -149,7 +149,7 @@
 	// start.
 	defer func() {
 		if x.started {
-			x.g.Orders.note(x.ask.Session, c.Version)
+			x.g.Orders.note(x.session(), c.Version)
 		}
 	}()
 	rd := newEventReader(resp.Body)
@@ -220,7 +220,7 @@
 	x.copyHead(resp)
 	x.writeHead(resp.StatusCode, -1)
 	x.firstEvent = x.g.Clock.Now()
-	x.g.Orders.note(x.ask.Session, c.Version)
+	x.g.Orders.note(x.session(), c.Version)
 }
 
 // resume continues a stream that broke off after a part of it went out. The
