kcgate: Count a session from its first try to the end of its last request

Callers saw a request or a session change its version while an order took its first step. A session was noted when an answer began and when a stream ended: a weak try that was dropped, or one that failed, left nothing, and a stream that ran for longer than the time of a session was forgotten meanwhile. A session is noted at each choice of an upstream now, and counts as running until its last request ends, however it ends. Memory stays bounded; running sessions are kept.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -125,11 +125,16 @@
 	}
 	x.permit = x.g.Orders.allow(x.service, key, have)
 	x.g.Metrics.Count("versions." + x.permit.reason)
-	return x.g.Upstreams.take(want{
+	c, ok := x.g.Upstreams.take(want{
 		service: x.service, version: x.permit.allows,
 		tried: tried, prompt: x.prompt(model), holdMs: x.holdMs(),
 		part: func(version string) float64 { return x.g.Orders.part(x.service, version) },
 	})
+	if ok {
+		x.g.Orders.enter(x.session(), c.Version, !x.entered)
+		x.entered = true
+	}
+	return c, ok
 }
 
 // prompt returns what an engine has to read for the request.
--- a/internal/kcgate/orders_test.go
+++ b/internal/kcgate/orders_test.go
@@ -55,7 +55,8 @@
 	o := newTestOrders(clock)
 	session := canarySession()
 	have := versions{counts: map[string]int{"v1": 12, "v2": 12}, first: "v1"}
-	o.note(sessionKey{"s", session}, "v1")
+	o.enter(sessionKey{"s", session}, "v1", true)
+	o.leave(sessionKey{"s", session})
 	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
 	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
 	if o.allow("s", session, have).allows("v2") {
@@ -86,3 +87,19 @@
 		}
 	}
 }
+
+// Guards against a running session that is forgotten because many others came,
+// and against memory that grows with them.
+func TestManySessionsDoNotCrowdOutARunningOne(t *testing.T) {
+	o := newTestOrders(kcclock.NewManual(1_000_000))
+	running := sessionKey{"s", "running"}
+	o.enter(running, "v1", true)
+	for i := range 2 * maxPins {
+		key := sessionKey{"s", fmt.Sprint(i)}
+		o.enter(key, "v1", true)
+		o.leave(key)
+	}
+	if len(o.pins) > maxPins || o.pins[running].running != 1 {
+		t.Errorf("%d sessions are kept, the running one as %+v", len(o.pins), o.pins[running])
+	}
+}
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -44,7 +44,6 @@
 		x.judge(c, "answer/"+x.route.Name, float64(took), plainSlow)
 		x.g.Upstreams.release(c, good)
 		x.count(c, false)
-		x.g.Orders.note(x.session(), c.Version)
 	}
 	x.copyHead(resp)
 	if len(body) <= maxHeldBytes {
@@ -145,13 +144,6 @@
 // stream, and otherwise how it broke off. last is the id of the last event
 // that was passed on.
 func (x *exchange) relay(ctx context.Context, c *choice, resp *kcconn.Response, last *int64) error {
-	// A session goes on from the end of its answer, which may be long after its
-	// start.
-	defer func() {
-		if x.started {
-			x.g.Orders.note(x.session(), c.Version)
-		}
-	}()
 	rd := newEventReader(resp.Body)
 	gap := x.gapMs()
 	began := kcclock.Millis(0)
@@ -164,7 +156,7 @@
 		ev, err := rd.next()
 		if errors.Is(err, io.EOF) {
 			resp.Finish()
-			x.startStream(resp, c)
+			x.startStream(resp)
 			if x.events >= minEvents {
 				pause := float64(x.g.Clock.Now()-began) / float64(x.events)
 				x.judge(c, "pause/"+x.sends[len(x.sends)-1].model, pause, engineSlow)
@@ -182,7 +174,7 @@
 			return err
 		}
 		x.g.Upstreams.alive(c)
-		x.startStream(resp, c)
+		x.startStream(resp)
 		if x.events++; x.events == 1 {
 			began = x.g.Clock.Now()
 		}
@@ -213,14 +205,13 @@
 var errCallerGone = errors.New("the caller does not read")
 
 // startStream writes the head of the answer before the first event.
-func (x *exchange) startStream(resp *kcconn.Response, c *choice) {
+func (x *exchange) startStream(resp *kcconn.Response) {
 	if x.started {
 		return
 	}
 	x.copyHead(resp)
 	x.writeHead(resp.StatusCode, -1)
 	x.firstEvent = x.g.Clock.Now()
-	x.g.Orders.note(x.session(), c.Version)
 }
 
 // resume continues a stream that broke off after a part of it went out. The
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -81,6 +81,8 @@
 	sends     sendRecord
 	// permit is what decided the version of the last choice.
 	permit permit
+	// entered is true once the session is noted at a version.
+	entered bool
 	// reserved is true if a repeat was taken from the budget and not used.
 	reserved bool
 	// events is the number of events of the last try.
@@ -215,6 +217,11 @@
 	defer cancel()
 	x.service = x.route.Service(point(x.ask.ID))
 	x.g.countFirst(x.service)
+	defer func() {
+		if x.entered {
+			x.g.Orders.leave(x.session())
+		}
+	}()
 	x.attempts(ctx)
 }
 
--- a/internal/kcgate/sessions.go
+++ b/internal/kcgate/sessions.go
@@ -1,6 +1,8 @@
 package kcgate
 
 import (
+	"maps"
+
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -11,12 +13,23 @@
 // sessionKey names a session at a service. Services have versions of their own.
 type sessionKey struct{ service, name string }
 
-// pin is the version that the last answer of a session came from.
+// pin is the version that the last try of a session went to.
 type pin struct {
 	version string
+	// running is the number of its requests that run, at the end of the last
+	// one.
+	running int
 	at      kcclock.Millis
 }
 
+// age returns the time since the last request of the session ended.
+func (p pin) age(now kcclock.Millis) kcclock.Millis {
+	if p.running > 0 {
+		return 0
+	}
+	return now - p.at
+}
+
 // point maps a session, or a request without one, to a number from 0 to 1 on
 // which all instances agree.
 func point(key string) float64 {
@@ -29,26 +42,48 @@
 	if !ok {
 		return permit{reason: byState}
 	}
-	return permit{reason: byState, pin: known.version, pinAgeMs: o.opts.Clock.Now() - known.at}
+	return permit{reason: byState, pin: known.version, pinAgeMs: known.age(o.opts.Clock.Now())}
 }
 
-// note records the version that a session is served by.
-func (o *Orders) note(key sessionKey, version string) {
+// enter notes that a try of a session goes to a version. first is true for the
+// first try of a request. A try counts before it is answered, and also if its
+// answer is dropped: it may have run.
+func (o *Orders) enter(key sessionKey, version string, first bool) {
 	if key.name == "" {
 		return
 	}
-	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.pins) >= maxPins {
-		for k, p := range o.pins {
-			if now-p.at >= o.opts.Deployment.Bounds.SessionMs {
-				delete(o.pins, k)
-			}
-		}
-		if len(o.pins) >= maxPins {
-			clear(o.pins)
+		o.dropPins()
+	}
+	p := o.pins[key]
+	if p.version = version; first {
+		p.running++
+	}
+	o.pins[key] = p
+}
+
+// leave notes that a request ended for which enter was called.
+func (o *Orders) leave(key sessionKey) {
+	if key.name == "" {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p := o.pins[key]
+	p.running, p.at = p.running-1, o.opts.Clock.Now()
+	o.pins[key] = p
+}
+
+// dropPins makes room for sessions: it drops those that are over, and if none
+// is, all that have no request running.
+func (o *Orders) dropPins() {
+	now := o.opts.Clock.Now()
+	for _, limit := range []kcclock.Millis{o.opts.Deployment.Bounds.SessionMs, 0} {
+		maps.DeleteFunc(o.pins, func(_ sessionKey, p pin) bool { return p.running == 0 && p.age(now) >= limit })
+		if len(o.pins) < maxPins {
+			return
 		}
 	}
-	o.pins[key] = pin{version, now}
 }
