kcgate, kcedge: Let instances tell each other of sessions that stay

The version of a session was known only to the instance that had served it.

From the start of an order, each instance now tells all others, of all regions, which sessions within that share it serves with the old version. The first step begins 1.5 s after the start of the order instead of at once; from then on a session that nobody told of is new at every instance, so that the set only shrinks. Messages are hints over UDP that are repeated; nothing waits for them.

TestSessionsKeepTheirVersionAtAllInstances fails without the messages. Two tests now let 1.5 s pass before the first step; one also checks that the target gets nothing until then.

--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -23,9 +23,13 @@
 const (
 	// tellMs is the time between messages to peers in the same availability
 	// zone, farTellMs to those of others in the region. Other regions are not
-	// told: their bytes are dear, and their upstreams are used last.
+	// told of it: their bytes are dear, and their upstreams are used last.
 	tellMs    = 25 * kcclock.Millisecond
 	farTellMs = 200 * kcclock.Millisecond
+	// sessionsMs is the least time between messages about sessions, which go to
+	// the peers of all regions. It is below the time of a short answer: the next
+	// request of a session comes after its end.
+	sessionsMs = 50 * kcclock.Millisecond
 	// stillMs is the time after which an unchanged state is told again, well
 	// below the time for which it counts.
 	stillMs = 500 * kcclock.Millisecond
@@ -60,6 +64,8 @@
 
 	mu   sync.Mutex
 	list map[string]peerEntry
+	// away holds the instances of other regions.
+	away map[string]peerEntry
 	// heard holds the time of the last message, from instances that can read
 	// the store only.
 	heard map[string]kcclock.Millis
@@ -73,7 +79,9 @@
 }
 
 func newPeers(e *Edge) *peers {
-	return &peers{e: e, list: make(map[string]peerEntry), heard: make(map[string]kcclock.Millis)}
+	return &peers{
+		e: e, list: make(map[string]peerEntry), away: make(map[string]peerEntry), heard: make(map[string]kcclock.Millis),
+	}
 }
 
 // listen opens the port for messages. Without it the instance still serves.
@@ -212,11 +220,13 @@
 	defer p.mu.Unlock()
 	if whole {
 		clear(p.list)
+		clear(p.away)
 		p.known = true
 	}
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			delete(p.list, r.Key)
+			delete(p.away, r.Key)
 			continue
 		}
 		var entry peerEntry
@@ -231,9 +241,24 @@
 			p.list[r.Key] = entry
 			// A peer that does not answer is left at the first call.
 			p.heard[r.Key] = now
+		default:
+			p.away[r.Key] = entry
+		}
+	}
+	p.e.Log.Info("list of instances read", "instances", len(p.list), "otherRegions", len(p.away))
+}
+
+// everyone returns the addresses of the peers in all regions.
+func (p *peers) everyone() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(p.list)+len(p.away))
+	for _, peers := range []map[string]peerEntry{p.list, p.away} {
+		for _, entry := range peers {
+			list = append(list, entry.Address)
 		}
 	}
-	p.e.Log.Info("list of instances read", "instances", len(p.list))
+	return list
 }
 
 // targets returns the addresses of the peers in the own availability zone and
@@ -345,8 +370,10 @@
 	clock := kcclock.Boot{}
 	seq := uint64(time.Now().UnixMilli()) << 16
 	last, lastAt, farAt := "", kcclock.Millis(0), kcclock.Millis(0)
+	var sessions sessionTeller
 	for kcclock.Wait(ctx, clock, tellMs) == nil {
 		now := clock.Now()
+		sessions.tell(p, now)
 		m := kcload.Message{Instance: p.e.Deployment.Instance, Reads: p.reads(), Shares: p.e.gate.Upstreams.Shares()}
 		state := string(kcload.Encode(m))
 		if state == last && now-lastAt < stillMs {
@@ -361,10 +388,34 @@
 			farAt = now
 			near = append(near, far...)
 		}
-		for _, addr := range near {
-			if _, err := p.conn.WriteToUDPAddrPort(raw, addr); err != nil {
-				p.e.metrics.Count("peers.sendFailed")
-			}
+		p.send(raw, near)
+	}
+}
+
+func (p *peers) send(raw []byte, to []netip.AddrPort) {
+	for _, addr := range to {
+		if _, err := p.conn.WriteToUDPAddrPort(raw, addr); err != nil {
+			p.e.metrics.Count("peers.sendFailed")
+		}
+	}
+}
+
+// sessionTeller tells the others of sessions that stay at their version.
+type sessionTeller struct{ toldAt, allAt kcclock.Millis }
+
+func (s *sessionTeller) tell(p *peers, now kcclock.Millis) {
+	if now-s.toldAt < sessionsMs {
+		return
+	}
+	all := now-s.allAt >= stillMs
+	if all {
+		s.allAt = now
+	}
+	for _, m := range p.e.gate.Orders.TellSessions(all) {
+		s.toldAt = now
+		for _, raw := range kcload.EncodeSessions(m) {
+			p.e.metrics.Count("peers.sessionsTold")
+			p.send(raw, p.everyone())
 		}
 	}
 }
@@ -387,12 +438,25 @@
 			p.e.metrics.Count("peers.readFailed")
 			continue
 		}
-		m, err := kcload.Decode(buf[:n])
-		if err != nil {
+		if err := p.takeMessage(buf[:n]); err != nil {
 			p.e.metrics.Count("peers.badMessage")
-			continue
 		}
+	}
+}
+
+// takeMessage takes a message of a peer.
+func (p *peers) takeMessage(raw []byte) error {
+	if kcload.IsSessions(raw) {
+		m, err := kcload.DecodeSessions(raw)
+		if err == nil {
+			p.e.gate.Orders.HearSessions(m)
+		}
+		return err
+	}
+	m, err := kcload.Decode(raw)
+	if err == nil {
 		p.note(m)
 		p.e.gate.Upstreams.SetPeer(m)
 	}
+	return err
 }
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -31,9 +31,11 @@
 	// seen as it was written.
 	startedAt kcclock.Millis
 	live      bool
-	// opened is true once the target had enough upstreams. Sessions that it
-	// serves stay, also if some of them crash.
-	opened   bool
+	// opened is true once the first step has begun. Sessions that the target
+	// serves stay, also if some of its upstreams crash.
+	opened bool
+	// others are the sessions that stay at another version.
+	others   otherSessions
 	evidence *kcrollout.Evidence
 	detector *kcrollout.Detector
 	// held is set once the log tells that the order waits for more evidence.
@@ -81,6 +83,7 @@
 		order: order, evidence: kcrollout.NewEvidence(), detector: kcrollout.NewOrderDetector(o.opts.Clock.Now(), order),
 	}
 	next.startedAt, next.live = o.opts.Clock.Now(), live
+	o.collect(next)
 	if s != nil {
 		next.progress = s.progress
 		next.known = s.progress.Order == order.Offset && s.progress.Target == order.Target
@@ -146,10 +149,14 @@
 	byBase = "base"
 	// byState: the state of the order leaves one version.
 	byState = "state"
-	// byUpstreams: the target has too few upstreams, or the others have none.
+	// byUpstreams: the target or the others have no upstreams.
 	byUpstreams = "upstreams"
+	// byStart: the order has just begun, or its target has too few upstreams.
+	byStart = "start"
 	// byPin: the session was served lately.
 	byPin = "pin"
+	// byPeer: the session was served lately by another instance.
+	byPeer = "peer"
 	// byShare: the share of the target decides for a session without a version.
 	byShare = "share"
 )
@@ -162,14 +169,20 @@
 	// pinAgeMs its age.
 	pin      string
 	pinAgeMs kcclock.Millis
+	// peer is the instance that told of the session, for byPeer.
+	peer string
 }
 
 // String renders the reason for the log.
 func (p permit) String() string {
-	if p.pin == "" {
+	about := p.pin
+	if p.reason == byPeer {
+		about = p.peer
+	}
+	if about == "" {
 		return p.reason
 	}
-	return p.reason + "/" + p.pin + "/" + strconv.FormatInt(int64(p.pinAgeMs), 10) + "ms"
+	return p.reason + "/" + about + "/" + strconv.FormatInt(int64(p.pinAgeMs), 10) + "ms"
 }
 
 // allow returns which versions of a service may run a request of a session.
@@ -202,30 +215,52 @@
 		p.reason = byUpstreams
 	case others == 0:
 		toTarget, p.reason = true, byUpstreams
-	case !s.opened && targets*readyPart < others:
-		// The target is still starting: a request that fails there would find
-		// no second upstream.
-		p.reason = byUpstreams
+	case !s.opened && (targets*readyPart < others || o.elapsed(s) < gatherMs):
+		// A request that fails at a target that is still starting would find no
+		// second upstream.
+		p.reason = byStart
 	default:
-		s.opened = true
-		toTarget, p.reason = o.forTarget(session, target, p, d)
+		o.open(s, targets, others)
+		toTarget = o.forTarget(s, session, &p, d)
 	}
 	p.allows = func(v string) bool { return (v == target) == toTarget }
 	return p
 }
 
+// open notes that the first step has begun here.
+func (o *Orders) open(s *serviceOrder, targets, others int) {
+	if s.opened {
+		return
+	}
+	s.opened = true
+	o.opts.Log.Info("order opened", "service", s.order.Service, "target", s.order.Target, "elapsedMs", o.elapsed(s),
+		"upstreams", targets, "others", others, "sessions", len(s.others.told)+len(s.others.own), "order", s.order.Offset)
+}
+
 // forTarget reports whether a session goes to the target of an order that runs,
-// and why. A session that was served lately stays, unless sessions may move.
-func (o *Orders) forTarget(session, target string, p permit, d kcrollout.Decision) (toTarget bool, reason string) {
-	if p.pin != "" && p.pinAgeMs < o.opts.Deployment.Bounds.SessionMs {
-		if p.pin == target {
-			return true, byPin
-		}
-		if !d.Move {
-			return false, byPin
+// and sets the reason. A session that was served lately stays, unless sessions
+// may move.
+func (o *Orders) forTarget(s *serviceOrder, session string, p *permit, d kcrollout.Decision) bool {
+	span := o.opts.Deployment.Bounds.SessionMs
+	p.reason = byPin
+	switch known := p.pin != "" && p.pinAgeMs < span; {
+	case known && p.pin == s.order.Target:
+		return true
+	case known && !d.Move:
+		return false
+	}
+	if point(session) >= d.Share {
+		p.reason = byShare
+		return false
+	}
+	if told, ok := s.others.told[sessionHash(session)]; ok && !d.Move {
+		if age := o.opts.Clock.Now() - told.at; age < span+toldSlackMs {
+			p.reason, p.peer, p.pinAgeMs = byPeer, told.instance, age
+			return false
 		}
 	}
-	return point(session) < d.Share, byShare
+	p.reason = byShare
+	return true
 }
 
 // allowBase keeps a service without an order on one version: an order for a
--- a/internal/kcgate/orders_test.go
+++ b/internal/kcgate/orders_test.go
@@ -17,15 +17,6 @@
 	})
 }
 
-// canarySession returns a session that goes to the target in the first step.
-func canarySession() string {
-	for i := 0; ; i++ {
-		if s := fmt.Sprint("s", i); point(s) < 0.01 {
-			return s
-		}
-	}
-}
-
 // Guards against an order whose first requests meet a target that has hardly
 // any upstream, and against sessions that go back when some of them crash.
 func TestTargetGetsRequestsOnceItIsReady(t *testing.T) {
@@ -33,10 +24,14 @@
 	o := newTestOrders(clock)
 	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
 	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
-	session := canarySession()
+	session := targetNames(1)[0]
 	goes := func(targets int) bool {
 		return o.allow("s", session, versions{counts: map[string]int{"v1": 12, "v2": targets}, first: "v1"}).allows("v2")
 	}
+	if goes(12) {
+		t.Error("a session goes to the target before instances have told each other of theirs")
+	}
+	clock.Advance(gatherMs)
 	if goes(1) {
 		t.Error("a session goes to a target with one upstream of twelve")
 	}
@@ -53,7 +48,7 @@
 func TestSessionsKeepTheirVersion(t *testing.T) {
 	clock := kcclock.NewManual(1_000_000)
 	o := newTestOrders(clock)
-	session := canarySession()
+	session := targetNames(1)[0]
 	have := versions{counts: map[string]int{"v1": 12, "v2": 12}, first: "v1"}
 	o.enter(sessionKey{"s", session}, "v1", true)
 	o.leave(sessionKey{"s", session})
--- a/internal/kcgate/session_test.go
+++ b/internal/kcgate/session_test.go
@@ -46,6 +46,7 @@
 	// A session that begins at the target while the order runs.
 	f, target, move := begin()
 	move()
+	f.clock.Advance(2000)
 	session := ""
 	for i := 0; len(target.requests()) == 0; i++ {
 		session = "s" + itoa(i)
--- a/internal/kcgate/sessions.go
+++ b/internal/kcgate/sessions.go
@@ -3,7 +3,10 @@
 import (
 	"maps"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -30,11 +33,12 @@
 	return now - p.at
 }
 
+// sessionHash returns the hash by which instances speak of a session.
+func sessionHash(name string) uint64 { return kcset.RendezvousHash(name, "") }
+
 // point maps a session, or a request without one, to a number from 0 to 1 on
 // which all instances agree.
-func point(key string) float64 {
-	return float64(kcset.RendezvousHash(key, "")>>11) / (1 << 53)
-}
+func point(key string) float64 { return float64(sessionHash(key)>>11) / (1 << 53) }
 
 // lastVersion returns a permit with the last known version of a session.
 func (o *Orders) lastVersion(key sessionKey) permit {
@@ -62,6 +66,9 @@
 		p.running++
 	}
 	o.pins[key] = p
+	if s := o.services[key.service]; s != nil {
+		o.keep(s, key, version)
+	}
 }
 
 // leave notes that a request ended for which enter was called.
@@ -74,6 +81,9 @@
 	p := o.pins[key]
 	p.running, p.at = p.running-1, o.opts.Clock.Now()
 	o.pins[key] = p
+	if s := o.services[key.service]; s != nil {
+		o.keep(s, key, p.version)
+	}
 }
 
 // dropPins makes room for sessions: it drops those that are over, and if none
@@ -87,3 +97,114 @@
 		}
 	}
 }
+
+const (
+	// gatherMs is the time from the start of an order to its first step. Three
+	// messages to each peer fit into it, and most upstreams of the target are on
+	// the list by then.
+	gatherMs = 1500 * kcclock.Millisecond
+	// toldSlackMs is how much longer than at its own instance a session counts
+	// at others: an instance that stops does not tell of its last requests.
+	toldSlackMs = 1000 * kcclock.Millisecond
+)
+
+// otherSessions are the sessions that would go to the target of an order by
+// their hash, but were served by another version lately. Callers reach any
+// instance, so that each has to know those of all.
+type otherSessions struct {
+	// own holds those of this instance.
+	own map[uint64]sessionKey
+	// news is true if one of them was used since they were last told.
+	news bool
+	// told holds those of other instances.
+	told map[uint64]toldSession
+}
+
+// toldSession is a session that another instance told of.
+type toldSession struct {
+	instance string
+	// at is the end of its last request.
+	at kcclock.Millis
+}
+
+// gathering reports whether the sessions of other versions still matter.
+func (s *serviceOrder) gathering() bool {
+	return s.order.Offset >= 0 && (!s.known || s.progress.Stage == kctable.Running && s.progress.Step == 0)
+}
+
+// collect takes up the sessions that are known at the start of an order.
+func (o *Orders) collect(s *serviceOrder) {
+	for key, p := range o.pins {
+		if key.service == s.order.Service && p.age(o.opts.Clock.Now()) < o.opts.Deployment.Bounds.SessionMs {
+			o.keep(s, key, p.version)
+		}
+	}
+}
+
+// keep takes up a session that was used, if the others have to know it.
+func (o *Orders) keep(s *serviceOrder, key sessionKey, version string) {
+	if !s.gathering() || version == s.order.Target ||
+		point(key.name) >= kcrollout.FirstShare(o.opts.Deployment.Bounds.ExposureShare) {
+		return
+	}
+	if s.others.own == nil {
+		s.others.own = make(map[uint64]sessionKey)
+	}
+	s.others.own[sessionHash(key.name)], s.others.news = key, true
+}
+
+// TellSessions returns which sessions of this instance the others have to know.
+// Unless all is set, it leaves out orders without news.
+func (o *Orders) TellSessions(all bool) []kcload.Sessions {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now, span := o.opts.Clock.Now(), o.opts.Deployment.Bounds.SessionMs
+	var out []kcload.Sessions
+	for _, s := range o.services {
+		if !s.gathering() {
+			s.others = otherSessions{}
+			continue
+		}
+		if len(s.others.own) == 0 || !all && !s.others.news {
+			continue
+		}
+		s.others.news = false
+		m := kcload.Sessions{Instance: o.opts.Deployment.Instance, Order: s.order.Offset}
+		for hash, key := range s.others.own {
+			p, ok := o.pins[key]
+			if age := p.age(now); ok && age < span && p.version != s.order.Target {
+				m.Sessions = append(m.Sessions, kcload.Session{Hash: hash, AgeMs: int(age)})
+			} else {
+				delete(s.others.own, hash)
+			}
+		}
+		if len(m.Sessions) > 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// HearSessions takes the sessions of another instance.
+func (o *Orders) HearSessions(m kcload.Sessions) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now, span := o.opts.Clock.Now(), o.opts.Deployment.Bounds.SessionMs+toldSlackMs
+	for _, s := range o.services {
+		if s.order.Offset != m.Order || !s.gathering() {
+			continue
+		}
+		if s.others.told == nil {
+			s.others.told = make(map[uint64]toldSession)
+		}
+		if len(s.others.told)+len(m.Sessions) > maxPins {
+			maps.DeleteFunc(s.others.told, func(_ uint64, t toldSession) bool { return now-t.at >= span })
+		}
+		for _, session := range m.Sessions {
+			at := now - kcclock.Millis(session.AgeMs)
+			if old, ok := s.others.told[session.Hash]; (!ok || old.at < at) && len(s.others.told) < maxPins {
+				s.others.told[session.Hash] = toldSession{m.Instance, at}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/kcgate/told_test.go
@@ -0,0 +1,138 @@
+package kcgate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// orderFleet is some instances that tell each other of sessions.
+type orderFleet struct {
+	clock *kcclock.Manual
+	all   []*Orders
+	have  versions
+}
+
+func newOrderFleet(n int) *orderFleet {
+	f := &orderFleet{
+		clock: kcclock.NewManual(1_000_000), have: versions{counts: map[string]int{"v1": 12, "v2": 12}, first: "v1"},
+	}
+	for i := range n {
+		o := newTestOrders(f.clock)
+		o.opts.Deployment.Instance = fmt.Sprint("i", i)
+		f.all = append(f.all, o)
+	}
+	return f
+}
+
+func (f *orderFleet) order() {
+	for _, o := range f.all {
+		o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
+		o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
+	}
+}
+
+// tell passes the messages of all instances on, as they travel.
+func (f *orderFleet) tell(all bool) {
+	for _, from := range f.all {
+		for _, m := range from.TellSessions(all) {
+			for _, raw := range kcload.EncodeSessions(m) {
+				m, err := kcload.DecodeSessions(raw)
+				for _, to := range f.all {
+					if err == nil && to != from {
+						to.HearSessions(m)
+					}
+				}
+			}
+		}
+	}
+}
+
+// ask lets an instance serve a request and returns its version.
+func (f *orderFleet) ask(n int, session string) string {
+	o, version := f.all[n], "v1"
+	if o.allow("s", session, f.have).allows("v2") {
+		version = "v2"
+	}
+	o.enter(sessionKey{"s", session}, version, true)
+	o.leave(sessionKey{"s", session})
+	return version
+}
+
+// targetNames returns names of sessions that go to the target in the first step
+// if they are new.
+func targetNames(n int) (list []string) {
+	for i := 0; len(list) < n; i++ {
+		if s := fmt.Sprint("s", i); point(s) < kcrollout.FirstShare(0.15) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Guards against a session that changes its version when its requests go round
+// the instances, before, at and after the first step of an order.
+func TestSessionsKeepTheirVersionAtAllInstances(t *testing.T) {
+	f := newOrderFleet(5)
+	was := make(map[string]string)
+	ask := func(at int, session string) {
+		if got := f.ask(at, session); was[session] == "" {
+			was[session] = got
+		} else if was[session] != got {
+			t.Fatalf("session %s moved from %s to %s", session, was[session], got)
+		}
+	}
+	sessions := targetNames(300)
+	for step := range 100 {
+		if step == 20 {
+			f.order()
+		}
+		// 30 sessions at a time, each with a request every 1.5 s for 6 s.
+		for n := range 30 {
+			if (step+n)%15 == 0 {
+				ask((step/15+n)%len(f.all), sessions[n+30*((step+n)/60)])
+			}
+		}
+		f.clock.Advance(100)
+		f.tell(step%5 == 0)
+	}
+	moved := 0
+	for _, v := range was {
+		if v == "v2" {
+			moved++
+		}
+	}
+	if moved == 0 {
+		t.Error("no new session went to the target")
+	}
+}
+
+// Guards against sessions that are held at the old version after they are over.
+func TestToldSessionsEnd(t *testing.T) {
+	f := newOrderFleet(2)
+	session := targetNames(1)[0]
+	f.ask(0, session)
+	f.order()
+	f.clock.Advance(gatherMs)
+	f.tell(true)
+	if f.all[1].allow("s", session, f.have).reason != byPeer {
+		t.Error("a session of another instance is not known")
+	}
+	f.clock.Advance(5001 + toldSlackMs)
+	f.tell(true)
+	if got := f.ask(1, session); got != "v2" {
+		t.Errorf("a session that is over stays at %s", got)
+	}
+	// Nothing is told once the target gets all requests.
+	f.ask(0, "other")
+	for _, o := range f.all {
+		o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3, Step: 1})
+		if got := o.TellSessions(true); len(got) != 0 {
+			t.Errorf("%+v is told after the first step", got)
+		}
+	}
+}
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -40,6 +40,52 @@
 	}
 }
 
+// Guards against sessions that are lost or mixed up on the way, and against a
+// message that is larger than a packet.
+func TestSessionsRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := kcload.Sessions{Instance: rapid.StringN(1, 20, 60).Draw(t, "name"), Order: rapid.Int64Min(0).Draw(t, "order") >> 1}
+		for range rapid.IntRange(0, 400).Draw(t, "sessions") {
+			m.Sessions = append(m.Sessions, kcload.Session{
+				Hash: rapid.Uint64().Draw(t, "hash"), AgeMs: rapid.IntRange(0, 1<<30).Draw(t, "age"),
+			})
+		}
+		var got []kcload.Session
+		for _, raw := range kcload.EncodeSessions(m) {
+			part, err := kcload.DecodeSessions(raw)
+			if err != nil || len(raw) > kcload.MaxBytes || !kcload.IsSessions(raw) ||
+				part.Instance != m.Instance || part.Order != m.Order {
+				t.Fatalf("%d bytes, %+v, %v", len(raw), part, err)
+			}
+			got = append(got, part.Sessions...)
+		}
+		if !reflect.DeepEqual(got, m.Sessions) {
+			t.Fatalf("%d sessions, want %d", len(got), len(m.Sessions))
+		}
+	})
+}
+
+func FuzzDecodeSessions(f *testing.F) {
+	m := kcload.Sessions{Instance: "i", Order: 1, Sessions: []kcload.Session{{Hash: 7, AgeMs: 3}}}
+	for _, raw := range kcload.EncodeSessions(m) {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if !kcload.IsSessions(b) {
+			return
+		}
+		m, err := kcload.DecodeSessions(b)
+		if err != nil {
+			return
+		}
+		for _, s := range m.Sessions {
+			if s.AgeMs < 0 {
+				t.Errorf("%+v", s)
+			}
+		}
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(kcload.Encode(kcload.Message{Instance: "i", Seq: 1, Shares: []kcload.Share{{Upstream: "u", WorkMs: 3, Running: 1}}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- /dev/null
+++ b/internal/kcload/sessions.go
@@ -0,0 +1,69 @@
+package kcload
+
+import "encoding/binary"
+
+// Sessions tells which sessions an instance serves with a version that an order
+// replaces. Messages add to each other; lost ones are made up for by the next,
+// and late ones only make a session seem to have ended later.
+type Sessions struct {
+	Instance string
+	// Order is the offset of the order's record.
+	Order    int64
+	Sessions []Session
+}
+
+// Session is a session of one instance.
+type Session struct {
+	// Hash is that of its name.
+	Hash uint64
+	// AgeMs is the time since its last request ended, 0 while one runs.
+	AgeMs int
+}
+
+// sessionsFormat is the first byte of these messages.
+const sessionsFormat = 2
+
+// IsSessions reports whether a message is one of Sessions.
+func IsSessions(b []byte) bool { return len(b) > 0 && b[0] == sessionsFormat }
+
+// EncodeSessions returns the bytes of m, in as many messages as it takes.
+func EncodeSessions(m Sessions) [][]byte {
+	head := appendString([]byte{sessionsFormat}, m.Instance)
+	head = binary.AppendUvarint(head, uint64(max(m.Order, 0)))
+	var out [][]byte
+	b := head[:len(head):len(head)]
+	for _, s := range m.Sessions {
+		next := binary.BigEndian.AppendUint64(b, s.Hash)
+		next = binary.AppendUvarint(next, uint64(min(max(s.AgeMs, 0), maxNumber)))
+		if len(next) > MaxBytes {
+			out = append(out, b)
+			next = append(head[:len(head):len(head)], next[len(b):]...)
+		}
+		b = next
+	}
+	if len(b) > len(head) {
+		out = append(out, b)
+	}
+	return out
+}
+
+// DecodeSessions reads a message of Sessions.
+func DecodeSessions(raw []byte) (Sessions, error) {
+	d := decoder{b: raw[1:]}
+	m := Sessions{Instance: d.string(), Order: int64(d.number() & maxOffset)}
+	for len(d.b) > 0 && d.err == nil {
+		if len(d.b) < 8 {
+			return m, errCut
+		}
+		s := Session{Hash: binary.BigEndian.Uint64(d.b)}
+		d.b = d.b[8:]
+		s.AgeMs = int(d.number() & maxNumber)
+		if d.err == nil {
+			m.Sessions = append(m.Sessions, s)
+		}
+	}
+	return m, d.err
+}
+
+// maxOffset bounds the offsets of a message.
+const maxOffset = 1<<62 - 1
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -60,11 +60,11 @@
 // part returns the part of the time of an order that has passed.
 func (v *OrderView) part() float64 { return float64(v.Elapsed) / float64(max(v.Order.SpanMs, 1)) }
 
-// canary returns the share of the target in the first step: what the last one
-// leaves of the exposure.
-func (v *OrderView) canary() float64 {
+// FirstShare returns the share of the target in the first step of an order: what
+// the last one leaves of the exposure.
+func FirstShare(exposureShare float64) float64 {
 	const rest = allPart + publishPart
-	return max((usedExposure*v.ExposureShare-rest)/(1-rest), minCanary*v.ExposureShare)
+	return max((usedExposure*exposureShare-rest)/(1-rest), minCanary*exposureShare)
 }
 
 // LastStepMs returns the time after the start of an order at which its target
@@ -103,7 +103,7 @@
 	case v.Progress.Stage == kctable.Reverted || v.Suspect && !v.InTouch:
 		return Decision{Never: true}
 	case v.Progress.Step == 0:
-		return Decision{Share: v.canary()}
+		return Decision{Share: FirstShare(v.ExposureShare)}
 	}
 	// An instance that lost touch stays at the step that it knows: to go back
 	// would move sessions to the old version while the others serve them with
