kcrollout, kcgate: Let the judge open an order

The same class of fault as the sessions that were known to one instance only: each instance decided by itself, from its own list of upstreams, when the target of an order takes its first sessions. One that started later, after some upstreams of the target had crashed, never opened the order and sent sessions of the target to the old version. One whose list is older opened later than the others.

The published state of an order now says whether it is opened. The judge opens it 1.5 s after its start, once the target has half as many upstreams as the other version; another member of the group does so if the judge is late. Evidence is not read before.

TestLateInstanceTakesTheFirstStep: its case failed on the code before ("moved from v2 to v1", run with the old fields). TestTargetGetsRequestsOnceItIsReady keeps its cases and now goes through the judge; tests that state a progress say that it is opened.

--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -93,7 +93,8 @@
 			continue
 		}
 		if e.gate.Orders.SetProgress(p) {
-			e.Log.Info("state of an order", "service", p.Service, "target", p.Target, "stage", p.Stage, "step", p.Step, "offset", r.Offset)
+			e.Log.Info("state of an order", "service", p.Service, "target", p.Target, "stage", p.Stage, "opened", p.Opened,
+				"step", p.Step, "offset", r.Offset)
 		}
 	}
 	if whole || len(instances) > 0 {
--- a/internal/kcedge/orders.go
+++ b/internal/kcedge/orders.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
 	"github.com/kingcuprail/kingcuprail/internal/kcgate"
@@ -26,8 +27,8 @@
 	holdMs = 3000 * kcclock.Millisecond
 	// joinMs is the time between calls that keep the judge.
 	joinMs = 600 * kcclock.Millisecond
-	// lateMs is the time after which another member of the group takes the
-	// last step of an order. The group may be dealt anew at any time, and the
+	// lateMs is the time after which another member of the group takes the first
+	// or last step of an order. The group may be dealt anew at any time, and the
 	// new judge learns of it at its next call.
 	lateMs = 400 * kcclock.Millisecond
 	// readMs is the time between reads of evidence by the judge.
@@ -129,7 +130,8 @@
 		return k.e.store.AppendKey(ctx, kcplatform.TopicProgress, kcplatform.OrderKey(p.Service), raw, at)
 	})
 	k.e.Log.Info("order decided", append([]any{
-		"service", p.Service, "target", p.Target, "stage", p.Stage, "step", p.Step, "order", p.Order, "at", at, "written", ok,
+		"service", p.Service, "target", p.Target, "stage", p.Stage, "opened", p.Opened, "step", p.Step,
+		"order", p.Order, "at", at, "written", ok,
 	}, cause...)...)
 	return ok
 }
@@ -201,14 +203,19 @@
 }
 
 // due returns the orders that this instance decides: all of them as the judge,
-// and as another member of the group those that the judge is late with.
+// and as another member of the group those whose first or last step the judge
+// is late with.
 func (k *orderKeeper) due(open []kcgate.OpenOrder) []kcgate.OpenOrder {
 	if k.judge {
 		return open
 	}
 	var late []kcgate.OpenOrder
 	for _, o := range open {
-		if k.joined && o.Known && o.ElapsedMs > kcrollout.LastStepMs(o.Order)+lateMs {
+		at := kcrollout.LastStepMs(o.Order)
+		if !o.Progress.Opened {
+			at = min(at, kcrollout.GatherMs)
+		}
+		if k.joined && o.Known && o.ElapsedMs > at+lateMs {
 			late = append(late, o)
 		}
 	}
@@ -218,12 +225,14 @@
 // decide reads the evidence of all instances and concludes orders.
 func (k *orderKeeper) decide(ctx context.Context, open []kcgate.OpenOrder) {
 	now := k.clock.Now()
-	if now >= k.readAt {
+	// There is no evidence before the first step.
+	opened := slices.ContainsFunc(open, func(o kcgate.OpenOrder) bool { return o.Progress.Opened })
+	if opened && now >= k.readAt {
 		k.readAt = now + readMs
 		k.read(ctx)
 	}
 	for _, o := range open {
-		p, seen, ok := k.e.gate.Orders.Conclude(o.Service)
+		p, seen, ok := k.e.gate.ConcludeOrder(o.Service)
 		if ok && k.write(ctx, p, "evidence", seen) {
 			k.e.gate.Orders.SetProgress(p)
 		}
--- a/internal/kcedge/orders_test.go
+++ b/internal/kcedge/orders_test.go
@@ -12,22 +12,27 @@
 // is dealt anew at its end: instances that joined at that moment left it without
 // a judge for two seconds.
 func TestOthersFinishLateOrders(t *testing.T) {
-	order := func(elapsed kcclock.Millis) []kcgate.OpenOrder {
-		return []kcgate.OpenOrder{{Order: kctable.Order{SpanMs: 24_000}, ElapsedMs: elapsed, Known: true}}
+	order := func(opened bool, elapsed kcclock.Millis) []kcgate.OpenOrder {
+		return []kcgate.OpenOrder{{
+			Order: kctable.Order{SpanMs: 24_000}, ElapsedMs: elapsed, Known: true, Progress: kctable.Progress{Opened: opened},
+		}}
 	}
 	for _, c := range []struct {
-		judge, joined bool
-		elapsed       kcclock.Millis
-		want          int
+		judge, joined, opened bool
+		elapsed               kcclock.Millis
+		want                  int
 	}{
-		{judge: true, joined: true, elapsed: 1000, want: 1},
-		{judge: false, joined: true, elapsed: 1000, want: 0},
-		{judge: false, joined: true, elapsed: 22_000, want: 0},
-		{judge: false, joined: true, elapsed: 23_000, want: 1},
-		{judge: false, joined: false, elapsed: 23_000, want: 0},
+		{judge: true, joined: true, opened: true, elapsed: 1000, want: 1},
+		{judge: false, joined: true, opened: true, elapsed: 1000, want: 0},
+		{judge: false, joined: true, opened: true, elapsed: 22_000, want: 0},
+		{judge: false, joined: true, opened: true, elapsed: 23_000, want: 1},
+		{judge: false, joined: false, opened: true, elapsed: 23_000, want: 0},
+		{judge: false, joined: true, opened: false, elapsed: 1500, want: 0},
+		{judge: false, joined: true, opened: false, elapsed: 2000, want: 1},
+		{judge: false, joined: false, opened: false, elapsed: 2000, want: 0},
 	} {
 		k := &orderKeeper{judge: c.judge, joined: c.joined}
-		if got := len(k.due(order(c.elapsed))); got != c.want {
+		if got := len(k.due(order(c.opened, c.elapsed))); got != c.want {
 			t.Errorf("%+v: %d orders", c, got)
 		}
 	}
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -16,10 +16,6 @@
 // It is below the time in which a bad version must be left.
 const touchMs = 4000 * kcclock.Millisecond
 
-// readyPart is the number of times that the target may have fewer upstreams than
-// the other version when it gets its first requests.
-const readyPart = 2
-
 // serviceOrder is the state of the order of one service.
 type serviceOrder struct {
 	order    kctable.Order
@@ -31,9 +27,6 @@
 	// seen as it was written.
 	startedAt kcclock.Millis
 	live      bool
-	// opened is true once the first step has begun. Sessions that the target
-	// serves stay, also if some of its upstreams crash.
-	opened bool
 	// others are the sessions that stay at another version.
 	others   otherSessions
 	evidence *kcrollout.Evidence
@@ -151,7 +144,7 @@
 	byState = "state"
 	// byUpstreams: the target or the others have no upstreams.
 	byUpstreams = "upstreams"
-	// byStart: the order has just begun, or its target has too few upstreams.
+	// byStart: the order waits for its first step.
 	byStart = "start"
 	// byPin: the session was served lately.
 	byPin = "pin"
@@ -202,12 +195,7 @@
 		return p
 	}
 	d := kcrollout.Decide(o.view(s))
-	targets, others := have.counts[target], 0
-	for v, n := range have.counts {
-		if v != target {
-			others += n
-		}
-	}
+	targets, others := have.of(target)
 	toTarget := d.Only
 	switch {
 	case d.Only, d.Never:
@@ -215,28 +203,15 @@
 		p.reason = byUpstreams
 	case others == 0:
 		toTarget, p.reason = true, byUpstreams
-	case !s.opened && (targets*readyPart < others || o.elapsed(s) < gatherMs):
-		// A request that fails at a target that is still starting would find no
-		// second upstream.
+	case d.Share == 0:
 		p.reason = byStart
 	default:
-		o.open(s, targets, others)
 		toTarget = o.forTarget(s, session, &p, d)
 	}
 	p.allows = func(v string) bool { return (v == target) == toTarget }
 	return p
 }
 
-// open notes that the first step has begun here.
-func (o *Orders) open(s *serviceOrder, targets, others int) {
-	if s.opened {
-		return
-	}
-	s.opened = true
-	o.opts.Log.Info("order opened", "service", s.order.Service, "target", s.order.Target, "elapsedMs", o.elapsed(s),
-		"upstreams", targets, "others", others, "sessions", len(s.others.told)+len(s.others.own), "order", s.order.Offset)
-}
-
 // forTarget reports whether a session goes to the target of an order that runs,
 // and sets the reason. A session that was served lately stays, unless sessions
 // may move.
@@ -429,9 +404,13 @@
 	o.fold(s)
 }
 
-// Conclude returns the next state of an order that runs, if it is time, with
+// ConcludeOrder returns the next state of an order that runs, if it is time, with
 // the evidence that it rests on.
-func (o *Orders) Conclude(service string) (p kctable.Progress, seen kcrollout.Tally, ok bool) {
+func (g *Gate) ConcludeOrder(service string) (p kctable.Progress, seen kcrollout.Tally, ok bool) {
+	return g.Orders.conclude(service, g.Upstreams.versions(service))
+}
+
+func (o *Orders) conclude(service string, have versions) (p kctable.Progress, seen kcrollout.Tally, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.services[service]
@@ -439,6 +418,7 @@
 		return kctable.Progress{}, seen, false
 	}
 	v := o.view(s)
+	v.Targets, v.Others = have.of(s.order.Target)
 	p, ok = kcrollout.Conclude(v, s.detector)
 	if !ok && !s.held && p.Step == 0 && v.Elapsed >= kcrollout.LastStepMs(s.order) {
 		s.held = true
--- a/internal/kcgate/orders_test.go
+++ b/internal/kcgate/orders_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"testing"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -18,20 +19,21 @@
 }
 
 // Guards against an order whose first requests meet a target that has hardly
-// any upstream, and against sessions that go back when some of them crash.
+// any upstream, or come before instances have told each other of sessions, and
+// against sessions that go back when some upstreams crash.
 func TestTargetGetsRequestsOnceItIsReady(t *testing.T) {
-	clock := kcclock.NewManual(1_000_000)
-	o := newTestOrders(clock)
-	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
-	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
+	f := newOrderFleet(1)
+	f.order()
 	session := targetNames(1)[0]
 	goes := func(targets int) bool {
-		return o.allow("s", session, versions{counts: map[string]int{"v1": 12, "v2": targets}, first: "v1"}).allows("v2")
+		f.have.counts["v2"] = targets
+		f.conclude(0)
+		return f.all[0].allow("s", session, f.have).allows("v2")
 	}
 	if goes(12) {
 		t.Error("a session goes to the target before instances have told each other of theirs")
 	}
-	clock.Advance(gatherMs)
+	f.clock.Advance(kcrollout.GatherMs)
 	if goes(1) {
 		t.Error("a session goes to a target with one upstream of twelve")
 	}
@@ -53,7 +55,7 @@
 	o.enter(sessionKey{"s", session}, "v1", true)
 	o.leave(sessionKey{"s", session})
 	o.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, true)
-	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3})
+	o.SetProgress(kctable.Progress{Service: "s", Target: "v2", Order: 3, Opened: true})
 	if o.allow("s", session, have).allows("v2") {
 		t.Error("a session that began at the old version moves in the first step")
 	}
--- a/internal/kcgate/outlier_test.go
+++ b/internal/kcgate/outlier_test.go
@@ -30,7 +30,7 @@
 			bads++
 		}
 		o.count("s", &choice{Upstream: kctable.Upstream{ID: string(rune('a' + n)), Version: "v2"}}, "r", kcrollout.Failure, bad)
-		if p, _, ok := o.Conclude("s"); ok {
+		if p, _, ok := o.conclude("s", versions{}); ok {
 			return p.Stage, bads
 		}
 	}
--- a/internal/kcgate/session_test.go
+++ b/internal/kcgate/session_test.go
@@ -34,7 +34,7 @@
 				{ID: "e1", Service: "svc", Address: target.ln.Addr().String(), Zone: "z", Version: "v2", Slots: 4, Born: 2},
 			}, false)
 			f.gate.Orders.SetOrder(order, true)
-			f.gate.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1})
+			f.gate.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1, Opened: true})
 		}
 	}
 	ask := func(f *fixture, session string) {
@@ -84,7 +84,7 @@
 		{ID: "e2", Service: "other", Address: target.ln.Addr().String(), Zone: "z", Version: "v2", Slots: 4, Born: 3},
 	}, false)
 	f.gate.Orders.SetOrder(kctable.Order{Service: "svc", Target: "v2", SpanMs: 60_000, Offset: 1}, true)
-	f.gate.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1})
+	f.gate.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1, Opened: true})
 	f.clock.Advance(3000)
 }
 
--- a/internal/kcgate/sessions.go
+++ b/internal/kcgate/sessions.go
@@ -98,15 +98,9 @@
 	}
 }
 
-const (
-	// gatherMs is the time from the start of an order to its first step. Three
-	// messages to each peer fit into it, and most upstreams of the target are on
-	// the list by then.
-	gatherMs = 1500 * kcclock.Millisecond
-	// toldSlackMs is how much longer than at its own instance a session counts
-	// at others: an instance that stops does not tell of its last requests.
-	toldSlackMs = 1000 * kcclock.Millisecond
-)
+// toldSlackMs is how much longer than at its own instance a session counts
+// at others: an instance that stops does not tell of its last requests.
+const toldSlackMs = 1000 * kcclock.Millisecond
 
 // otherSessions are the sessions that would go to the target of an order by
 // their hash, but were served by another version lately. Callers reach any
--- a/internal/kcgate/told_test.go
+++ b/internal/kcgate/told_test.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// conclude lets an instance judge, and publishes what it concludes.
+func (f *orderFleet) conclude(judge int) {
+	if p, _, ok := f.all[judge].conclude("s", f.have); ok {
+		for _, o := range f.all {
+			o.SetProgress(p)
+		}
+	}
+}
+
 // tell passes the messages of all instances on, as they travel.
 func (f *orderFleet) tell(all bool) {
 	for _, from := range f.all {
@@ -99,6 +108,7 @@
 		}
 		f.clock.Advance(100)
 		f.tell(step%5 == 0)
+		f.conclude(step % len(f.all))
 	}
 	moved := 0
 	for _, v := range was {
@@ -117,8 +127,9 @@
 	session := targetNames(1)[0]
 	f.ask(0, session)
 	f.order()
-	f.clock.Advance(gatherMs)
+	f.clock.Advance(kcrollout.GatherMs)
 	f.tell(true)
+	f.conclude(0)
 	if f.all[1].allow("s", session, f.have).reason != byPeer {
 		t.Error("a session of another instance is not known")
 	}
@@ -136,3 +147,23 @@
 		}
 	}
 }
+
+// Guards against an instance that starts during an order and keeps its sessions
+// at the old version, because fewer upstreams of the target are left.
+func TestLateInstanceTakesTheFirstStep(t *testing.T) {
+	f := newOrderFleet(2)
+	f.order()
+	f.clock.Advance(kcrollout.GatherMs)
+	f.conclude(0)
+	session := targetNames(1)[0]
+	was := f.ask(0, session)
+	f.have.counts["v2"] = 5
+	f.clock.Advance(1000)
+	late := newTestOrders(f.clock)
+	late.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, false)
+	late.SetProgress(f.all[0].services["s"].progress)
+	f.all[1] = late
+	if got := f.ask(1, session); got != was || was != "v2" {
+		t.Errorf("a session of the target moved from %s to %s", was, got)
+	}
+}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -213,6 +213,16 @@
 	first  string
 }
 
+// of returns the number of upstreams of a version and of all others.
+func (v versions) of(version string) (n, others int) {
+	for other, count := range v.counts {
+		if other != version {
+			others += count
+		}
+	}
+	return v.counts[version], others
+}
+
 // versions returns the versions of a service.
 func (l *Upstreams) versions(service string) versions {
 	l.mu.Lock()
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -28,6 +28,14 @@
 	// order does not advance: with fewer, the detector cannot tell a version
 	// that fails a third of its answers.
 	minEvidence = 20
+	// GatherMs is the time from the start of an order to its first step, in which
+	// instances tell each other of the sessions that stay. Three messages to each
+	// peer fit into it, and most upstreams of the target are on the list by then.
+	GatherMs = 1500 * kcclock.Millisecond
+	// readyPart is the number of times that the target may have fewer upstreams
+	// than the others when it gets its first requests: one that fails there would
+	// otherwise find no second upstream.
+	readyPart = 2
 )
 
 // maxDoubt is the evidence against a target up to which it gets all requests. A
@@ -55,6 +63,14 @@
 	Suspect bool
 	// ExposureShare bounds the part of the requests that a bad target may get.
 	ExposureShare float64
+	// Targets and Others are the numbers of upstreams of the target and of other
+	// versions. Only Conclude uses them.
+	Targets, Others int
+}
+
+// opens reports whether it is time for the first step.
+func (v *OrderView) opens() bool {
+	return v.Progress.Step == 0 && !v.Progress.Opened && v.Elapsed >= GatherMs && v.Targets > 0 && v.Targets*readyPart >= v.Others
 }
 
 // part returns the part of the time of an order that has passed.
@@ -102,6 +118,8 @@
 		return Decision{Share: 1, Move: true, Only: true}
 	case v.Progress.Stage == kctable.Reverted || v.Suspect && !v.InTouch:
 		return Decision{Never: true}
+	case v.Progress.Step == 0 && !v.Progress.Opened:
+		return Decision{}
 	case v.Progress.Step == 0:
 		return Decision{Share: FirstShare(v.ExposureShare)}
 	}
@@ -119,6 +137,10 @@
 		next.Stage = kctable.Reverted
 		return next, true
 	}
+	if v.opens() {
+		next.Opened = true
+		return next, true
+	}
 	const finish = 1 - publishPart
 	part := v.part()
 	_, doubt := d.Doubt()
--- a/internal/kcrollout/order_test.go
+++ b/internal/kcrollout/order_test.go
@@ -36,7 +36,7 @@
 	order := kctable.Order{Service: "s", Target: "v2", SpanMs: spanMs, Offset: 1}
 	v := kcrollout.OrderView{
 		Order: order, Known: true, InTouch: true, ExposureShare: exposure,
-		Progress: kctable.Progress{Service: "s", Target: "v2", Order: 1},
+		Progress: kctable.Progress{Service: "s", Target: "v2", Order: 1, Opened: true},
 	}
 	det := kcrollout.NewOrderDetector(0, order)
 	fresh, old := kcrollout.Strata{}, kcrollout.Strata{}
@@ -155,6 +155,10 @@
 		t.Errorf("unknown start: %+v, want no request", d)
 	}
 	v.Known = true
+	if d := kcrollout.Decide(v); d != (kcrollout.Decision{}) {
+		t.Errorf("before the first step: %+v, want no request", d)
+	}
+	v.Progress.Opened = true
 	for step := range 2 {
 		v.Progress.Step = step
 		v.InTouch = true
@@ -212,7 +216,7 @@
 	}
 	v := kcrollout.OrderView{
 		Order: order, Known: true, InTouch: true, ExposureShare: exposure,
-		Progress: kctable.Progress{Service: "s", Target: "v2", Order: 1},
+		Progress: kctable.Progress{Service: "s", Target: "v2", Order: 1, Opened: true},
 	}
 	for part, want := range map[float64]kctable.Stage{0.93: kctable.Running, 0.96: kctable.Complete} {
 		v.Elapsed = kcclock.Millis(part * float64(spanMs))
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -175,6 +175,8 @@
 	StartedAt kcclock.Millis
 	// Order is the offset of the order.
 	Order int64
+	// Opened is true once the target takes requests. It stays so.
+	Opened bool
 	// Step is 0 while the target is tried out and 1 once it gets all requests.
 	Step int
 }
