--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -97,6 +97,9 @@
 				"step", p.Step, "offset", r.Offset)
 		}
 	}
+	if whole {
+		e.gate.Orders.StatesRead()
+	}
 	if whole || len(instances) > 0 {
 		e.peers.apply(instances, whole)
 	}
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -53,6 +53,8 @@
 	// base is the version of services without an order.
 	base map[string]string
 	pins map[sessionKey]pin
+	// stateRead is closed once the published states were read.
+	stateRead chan struct{}
 }
 
 // NewOrders returns an empty set.
@@ -60,6 +62,7 @@
 	return &Orders{
 		opts: opts, services: make(map[string]*serviceOrder),
 		base: make(map[string]string), pins: make(map[sessionKey]pin),
+		stateRead: make(chan struct{}),
 	}
 }
 
@@ -85,6 +88,26 @@
 	return true
 }
 
+// StatesRead notes that SetProgress got all states that were published before.
+func (o *Orders) StatesRead() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case <-o.stateRead:
+	default:
+		close(o.stateRead)
+	}
+}
+
+// unread reports whether a service has an order from before the start of this
+// instance whose state is not known.
+func (o *Orders) unread(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.services[service]
+	return s != nil && s.order.Offset >= 0 && !s.live && !s.known
+}
+
 // SetProgress takes the published state of an order and reports whether it is
 // news.
 func (o *Orders) SetProgress(p kctable.Progress) bool {
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -216,6 +216,10 @@
 	ctx, cancel := x.untilDeadline()
 	defer cancel()
 	x.service = x.route.Service(point(x.ask.ID))
+	if x.g.Orders.unread(x.service) {
+		// Without the state, the request is served as if the order had not begun.
+		x.g.start.awaitOne(ctx, x.g.Clock, x.g.Orders.stateRead)
+	}
 	x.g.countFirst(x.service)
 	defer func() {
 		if x.entered {
--- a/internal/kcgate/session_test.go
+++ b/internal/kcgate/session_test.go
@@ -22,19 +22,13 @@
 		during()
 		return write(w, chunk(event(2))+lastChunk)
 	}
-	order := kctable.Order{Service: "svc", Target: "v2", SpanMs: 24_000, Offset: 1}
 	// begin returns a gate whose first upstream runs the old version, and a
 	// function that gives it an order and the upstream of its target.
 	begin := func() (f *fixture, target *engine, move func()) {
 		old, target := newEngine(t, serve), newEngine(t, serve)
 		f = newFixture(t, []kctable.Route{route("a", kctable.Stream)}, old)
 		return f, target, func() {
-			f.gate.Upstreams.Replace([]kctable.Upstream{
-				{ID: "e0", Service: "svc", Address: old.ln.Addr().String(), Zone: "z", Version: "v1", Slots: 4, Born: 1},
-				{ID: "e1", Service: "svc", Address: target.ln.Addr().String(), Zone: "z", Version: "v2", Slots: 4, Born: 2},
-			}, false)
-			f.gate.Orders.SetOrder(order, true)
-			f.gate.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1, Opened: true})
+			f.move(old, target)
 		}
 	}
 	ask := func(f *fixture, session string) {
@@ -46,7 +40,6 @@
 	// A session that begins at the target while the order runs.
 	f, target, move := begin()
 	move()
-	f.clock.Advance(2000)
 	session := ""
 	for i := 0; len(target.requests()) == 0; i++ {
 		session = "s" + itoa(i)
@@ -75,36 +68,42 @@
 	}
 }
 
-// move gives the service an order and the upstream of its target, and waits
-// until the order takes its first step.
-func (f *fixture) move(old, target *engine) {
+// setUpstreams sets one upstream of each version.
+func (f *fixture) setUpstreams(old, target *engine) {
 	f.gate.Upstreams.Replace([]kctable.Upstream{
 		{ID: "e0", Service: "svc", Address: old.ln.Addr().String(), Zone: "z", Version: "v1", Slots: 4, Born: 1},
 		{ID: "e1", Service: "svc", Address: target.ln.Addr().String(), Zone: "z", Version: "v2", Slots: 4, Born: 2},
 		{ID: "e2", Service: "other", Address: target.ln.Addr().String(), Zone: "z", Version: "v2", Slots: 4, Born: 3},
 	}, false)
+}
+
+// move gives the service an order in its first step, and its target an upstream.
+func (f *fixture) move(old, target *engine) {
+	f.setUpstreams(old, target)
 	f.gate.Orders.SetOrder(kctable.Order{Service: "svc", Target: "v2", SpanMs: 60_000, Offset: 1}, true)
 	f.gate.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1, Opened: true})
-	f.clock.Advance(3000)
 }
 
-// targetSessions returns which of the sessions s0, s1, ... run on the target of
-// an order, if nothing is known of them.
-func targetSessions(t *testing.T, n int) []string {
+// sessions is the number of sessions s0, s1, ... of a test.
+const sessions = 50
+
+// targetSessions returns which sessions run on the target of an order, if
+// nothing is known of them.
+func targetSessions(t *testing.T) []string {
 	t.Helper()
 	answer := func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "x") }
 	old, target := newEngine(t, answer), newEngine(t, answer)
 	f := newFixture(t, []kctable.Route{route("a", kctable.Repeatable)}, old)
 	f.move(old, target)
-	for i := range n {
+	for i := range sessions {
 		f.askSession(t, "/a/x", "s"+itoa(i))
 	}
 	var list []string
 	for _, r := range target.requests() {
 		list = append(list, r.Header.Get("Session"))
 	}
-	if len(list) == 0 || len(list) > n/2 {
-		t.Fatalf("%d of %d sessions run on the target", len(list), n)
+	if len(list) == 0 || len(list) > sessions/2 {
+		t.Fatalf("%d of %d sessions run on the target", len(list), sessions)
 	}
 	return list
 }
@@ -119,7 +118,7 @@
 // Guards against a request whose second try runs on another version than the
 // first one, because an order took its first step in between.
 func TestRequestKeepsItsVersionWhenAnOrderOpens(t *testing.T) {
-	session := targetSessions(t, 50)[0]
+	session := targetSessions(t)[0]
 	var f *fixture
 	var old, target *engine
 	answer := func(_ int, req *http.Request, _ string, w net.Conn) bool {
@@ -144,7 +143,7 @@
 // Guards against a session that moves while one of its streams has run for
 // longer than the time of a session.
 func TestSessionStaysWhileItsStreamRuns(t *testing.T) {
-	session := targetSessions(t, 50)[0]
+	session := targetSessions(t)[0]
 	begun, end := make(chan struct{}), make(chan struct{})
 	serve := func(n int, req *http.Request, _ string, w net.Conn) bool {
 		if !stream(w, req, "", event(1)) {
@@ -178,8 +177,7 @@
 
 // Guards against the version of one service that decides that of another.
 func TestSessionsOfServicesAreApart(t *testing.T) {
-	const sessions = 50
-	want := kcset.New(targetSessions(t, sessions)...)
+	want := kcset.New(targetSessions(t)...)
 	answer := func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "x") }
 	old, target := newEngine(t, answer), newEngine(t, answer)
 	other := route("b", kctable.Repeatable)
--- a/internal/kcgate/start.go
+++ b/internal/kcgate/start.go
@@ -25,23 +25,26 @@
 // await waits until the instance knows enough to serve, and reports whether it
 // does.
 func (s *startState) await(ctx context.Context, clock kcclock.Clock) bool {
-	for _, known := range []<-chan struct{}{s.table, s.upstreams} {
-		select {
-		case <-known:
-			continue
-		default:
-		}
-		left := s.began + startMs - clock.Now()
-		if left <= 0 {
-			return false
-		}
-		select {
-		case <-known:
-		case <-clock.After(left):
-			return false
-		case <-ctx.Done():
-			return false
-		}
+	return s.awaitOne(ctx, clock, s.table) && s.awaitOne(ctx, clock, s.upstreams)
+}
+
+// awaitOne waits for one of the things that an instance reads at its start.
+func (s *startState) awaitOne(ctx context.Context, clock kcclock.Clock, known <-chan struct{}) bool {
+	select {
+	case <-known:
+		return true
+	default:
+	}
+	left := s.began + startMs - clock.Now()
+	if left <= 0 {
+		return false
+	}
+	select {
+	case <-known:
+		return true
+	case <-clock.After(left):
+		return false
+	case <-ctx.Done():
+		return false
 	}
-	return true
 }
--- a/internal/kcgate/start_test.go
+++ b/internal/kcgate/start_test.go
@@ -52,3 +52,37 @@
 		t.Errorf("status %d for a request after the start, want 503 at once", got)
 	}
 }
+
+// Guards against a session of the target that goes back to the old version at
+// an instance that has just started and has not read the state of the order.
+func TestRequestsAtTheStartAwaitTheStateOfAnOrder(t *testing.T) {
+	session := targetSessions(t)[0]
+	answer := func(_ int, req *http.Request, _ string, w net.Conn) bool { return reply(w, req, "200 OK", "", "x") }
+	old, target := newEngine(t, answer), newEngine(t, answer)
+	f := newFixture(t, []kctable.Route{route("a", kctable.Repeatable)}, old)
+	started := kcgate.New(f.gate.Options)
+	started.SetTable(f.gate.Table())
+	f.gate = started
+	f.serve(t, started)
+	f.setUpstreams(old, target)
+	order := kctable.Order{Service: "svc", Target: "v2", SpanMs: 60_000, Offset: 1}
+	started.Orders.SetOrder(order, false)
+	waits, ended := make(chan struct{}), make(chan struct{})
+	go func() { defer close(ended); f.askSession(t, "/a/x", session) }()
+	go func() { defer close(waits); f.clock.AwaitWaiters(1) }()
+	select {
+	case <-waits:
+	case <-ended:
+		t.Fatal("the request was served without the state of the order")
+	}
+	started.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1, Opened: true})
+	started.Orders.StatesRead()
+	<-ended
+	if n := len(target.requests()); n != 1 {
+		t.Errorf("%d requests at the target, %d at the old version", n, len(old.requests()))
+	}
+	// An order whose state nobody has published does not keep requests waiting.
+	order.Offset = 2
+	started.Orders.SetOrder(order, false)
+	f.askSession(t, "/a/x", session)
+}
