kcconn: Do not wait for the rest of an answer

An upstream that refused a request and did not send the body of its refusal held the request for ever, beyond its deadline: Finish reads one byte to see whether the body is over, after it had lifted the bound of the request. It now takes only what has arrived and closes the connection otherwise. Interim answers without end held a request until its deadline; they share the bound on the head now.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -58,12 +58,13 @@
 	return n, err
 }
 
-// readHead reads the next answer up to its body. Interim answers are skipped.
+// readHead reads the next answer up to its body. Interim answers are skipped;
+// together with the head they are bounded.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.head.left = maxHeadBytes
+	defer func() { c.head.left = -1 }()
 	for {
-		c.head.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-		c.head.left = -1
 		if err != nil {
 			return nil, err
 		}
--- a/internal/kcconn/conn_test.go
+++ b/internal/kcconn/conn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -163,3 +164,12 @@
 		_ = ln.Close()
 	}
 }
+
+// Guards against interim answers without end, which keep a request waiting.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	addr, _ := peer(t, func(int) string { return strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 8000) + okAnswer })
+	p := newPool(t, kcclock.System{})
+	if body, err := ask(p, addr, kcconn.Request{}); err == nil {
+		t.Errorf("the answer %q after 8,000 interim ones", body)
+	}
+}
--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -147,8 +147,9 @@
 	return nil, errs.New("the answer carries the id of another request")
 }
 
-// Finish returns the connection to the pool if the body was read to its end
-// and the other side keeps it open; otherwise it closes the connection.
+// Finish returns the connection to the pool if the body has arrived and was read
+// to its end, and the other side keeps it open; otherwise it closes the
+// connection. It does not wait.
 func (r *Response) Finish() {
 	if r.done {
 		return
@@ -156,6 +157,7 @@
 	r.done = true
 	stopped := r.stop()
 	// Reads that end at the close of the connection report no length.
+	_ = r.conn.SetReadDeadline(time.Now())
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 	if _, err := r.Body.Read(make([]byte, 1)); !stopped || !errors.Is(err, io.EOF) || r.Close || !framed {
 		_ = r.conn.Close()
