kcgate: Ask another upstream when a body does not end

A repeatable request whose upstream began a body and did not end it waited until its deadline and failed with 504. Where another upstream could answer, a body gets half of the time that is left. Answers that may not be repeated, and those that are being passed on, last as long as before.

TestBodyWithoutAnEndIsAskedElsewhere failed before (504 after 2 s). TestLongBodyWithoutAnEndIsCutOff passed before as well: a body beyond 512 KiB is not held, ends at the deadline and does not look whole.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -250,10 +250,16 @@
 	return lost
 }
 
+// couldRepeat reports whether another upstream could answer in place of the one
+// that runs the request.
+func (x *exchange) couldRepeat(c *choice) bool {
+	return x.route.MayRepeat() && x.sends.runs()+1 < x.route.MaxAttempts && c.candidates >= 2
+}
+
 // silenceWait returns the time after which a try without an answer is checked
 // for signs of life of its upstream, or 0 if it may take as long as it likes.
 func (x *exchange) silenceWait(c *choice, model string) kcclock.Millis {
-	if !x.route.MayRepeat() || x.sends.runs()+1 >= x.route.MaxAttempts || c.candidates < 2 || x.route.ObjectiveMs <= 0 {
+	if !x.couldRepeat(c) || x.route.ObjectiveMs <= 0 {
 		return 0
 	}
 	part := plainSilentPart
--- a/internal/kcgate/endless_test.go
+++ b/internal/kcgate/endless_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -43,3 +44,33 @@
 		t.Errorf("%v %q %v: want the answer of the other upstream", resp, body, err)
 	}
 }
+// Guards against a repeatable request that waits until its deadline for the end
+// of a body, while another upstream could answer.
+func TestBodyWithoutAnEndIsAskedElsewhere(t *testing.T) {
+	a, b := firstFails(t, func(req *http.Request, w net.Conn) bool {
+		return stream(w, req, "", "no end") && untilClosed(w)
+	}, replyOK)
+	f := newFixture(t, []kctable.Route{route("a", kctable.Repeatable)}, a, b)
+	resp, body, err := f.ask(t, "/a/x", "Deadline-Ms", "2000")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("%v %q %v: want the answer of the other upstream", resp, body, err)
+	}
+}
+
+// Guards against an instance that holds an answer without an end in memory, and
+// against one that passes it on as if it were whole.
+func TestLongBodyWithoutAnEndIsCutOff(t *testing.T) {
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		if !stream(w, req, "") {
+			return false
+		}
+		for write(w, chunk(strings.Repeat("x", 32<<10))) {
+		}
+		return false
+	})
+	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, e)
+	if resp, body, err := f.ask(t, "/a/x", "Deadline-Ms", "500"); err == nil {
+		t.Errorf("%v, %d bytes: want a broken connection", resp.Status, len(body))
+	}
+	<-e.closed
+}
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -22,7 +22,11 @@
 	if x.route.Effect == kctable.Stream && resp.StatusCode == http.StatusOK {
 		return x.passStream(ctx, c, resp, end)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
+	var body []byte
+	err := x.boundBody(c, resp)
+	if err == nil {
+		body, err = io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
+	}
 	if err != nil {
 		resp.Abort()
 		end(maybeRan, "body: "+err.Error())
@@ -61,10 +65,22 @@
 	return answered
 }
 
+// boundBody limits the time in which the body of an answer arrives, where another
+// upstream could answer: half of the time that is left remains for that one.
+func (x *exchange) boundBody(c *choice, resp *kcconn.Response) error {
+	if !x.couldRepeat(c) {
+		return nil
+	}
+	return resp.SetReadTimeout(max(x.left()/2, 0))
+}
+
 // passLong passes an answer on as it arrives.
 func (x *exchange) passLong(resp *kcconn.Response, read []byte) {
 	x.writeHead(resp.StatusCode, int(resp.ContentLength))
 	_, err := x.w.Write(read)
+	if err == nil {
+		err = resp.SetReadTimeout(max(x.left(), 0))
+	}
 	if err == nil {
 		x.bound(x.rc.SetWriteDeadline, x.left())
 		_, err = io.Copy(x.w, resp.Body)
