kcgate: Resume a stream that sends no events

Such bytes do not renew the permitted pause any more, and after 16 KiB of them the stream is resumed at another upstream. Streams whose events have no ids at all are passed on as before.

--- a/internal/kcgate/endless_test.go
+++ b/internal/kcgate/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,14 +35,15 @@
 // Guards against a request that hangs after a refusal whose body does not come.
 func TestRefusalWithoutItsBodyIsSentElsewhere(t *testing.T) {
 	a, b := firstFails(t, func(req *http.Request, w net.Conn) bool {
-		return write(w, "HTTP/1.1 503 Busy\r\nRequest-Id: "+req.Header.Get("Request-Id")+"\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\n") &&
-			untilClosed(w)
+		head := "HTTP/1.1 503 Busy\r\nRequest-Id: " + req.Header.Get("Request-Id") + "\r\n"
+		return write(w, head+"Not-Run: 1\r\nContent-Length: 9\r\n\r\n") && untilClosed(w)
 	}, replyOK)
 	f := newFixture(t, []kctable.Route{route("a", kctable.Once)}, a, b)
 	if resp, body, err := f.ask(t, "/a/x"); err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
 		t.Errorf("%v %q %v: want the answer of the other upstream", resp, body, err)
 	}
 }
+
 // Guards against a repeatable request that waits until its deadline for the end
 // of a body, while another upstream could answer.
 func TestBodyWithoutAnEndIsAskedElsewhere(t *testing.T) {
@@ -74,3 +74,34 @@
 	}
 	<-e.closed
 }
+
+// Guards against a stream that is kept open by bytes which are no events.
+func TestStreamOfNoEventsIsResumed(t *testing.T) {
+	for name, c := range map[string]struct{ first, noise string }{
+		"blank lines":             {event(1), "\n"},
+		"comments":                {event(1), ": x\n\n"},
+		"events without an id":    {event(1), "data: x\n\n"},
+		"comments from the start": {": x\n\n", ": x\n\n"},
+	} {
+		flood := chunk(strings.Repeat(c.noise, 1000))
+		a, b := firstFails(t, func(req *http.Request, w net.Conn) bool {
+			if !stream(w, req, "", c.first) {
+				return false
+			}
+			for write(w, flood) {
+			}
+			return false
+		}, func(req *http.Request, w net.Conn) bool {
+			if req.Header.Get("Last-Event-Id") == "" && !stream(w, req, "", event(1), event(2)) ||
+				req.Header.Get("Last-Event-Id") == "1" && !stream(w, req, "", event(2)) {
+				return false
+			}
+			return write(w, lastChunk)
+		})
+		f := newFixture(t, []kctable.Route{route("a", kctable.Stream)}, a, b)
+		_, body, err := f.ask(t, "/a/x", "Deadline-Ms", "3000")
+		if err != nil || strings.Count(body, event(1)) != 1 || !strings.HasSuffix(body, event(2)) {
+			t.Errorf("%s: %d bytes, %v: want the stream to go on at the other upstream", name, len(body), err)
+		}
+	}
+}
--- a/internal/kcgate/events.go
+++ b/internal/kcgate/events.go
@@ -18,6 +18,8 @@
 	raw   []byte
 	id    int64
 	hasID bool
+	// hasField is false for comments and blank lines.
+	hasField bool
 }
 
 // follows checks that no event is missing between last and e, and that e does
@@ -29,13 +31,41 @@
 	return nil
 }
 
-type eventReader struct{ br *bufio.Reader }
+// maxNoiseBytes bounds the bytes between two numbered events that belong to
+// neither, such as comments that keep the connection open.
+const maxNoiseBytes = 16 << 10
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReaderSize(r, 2<<10)} }
+type eventReader struct {
+	br *bufio.Reader
+	// numbered is true once an event had an id. Events without one tell nothing
+	// of the progress of the stream from then on.
+	numbered bool
+	// noise is the number of bytes since the last event that tells of it.
+	noise int
+}
+
+func newEventReader(r io.Reader) *eventReader { return &eventReader{br: bufio.NewReaderSize(r, 2<<10)} }
 
 // next returns the next whole event, or io.EOF if the stream ended after one.
-// A stream that ends within an event is an error.
+// A stream that ends within an event is an error, and so is one without an
+// event in too many bytes.
 func (r *eventReader) next() (event, error) {
+	e, err := r.read()
+	if err != nil {
+		return e, err
+	}
+	r.numbered = r.numbered || e.hasID
+	if e.hasID || e.hasField && !r.numbered {
+		r.noise = 0
+		return e, nil
+	}
+	if r.noise += len(e.raw); r.noise > maxNoiseBytes {
+		return e, errs.New("no event in %d bytes of the stream", r.noise)
+	}
+	return e, nil
+}
+
+func (r *eventReader) read() (event, error) {
 	var e event
 	start := 0
 	for {
@@ -58,6 +88,7 @@
 		if len(line) == 0 {
 			return e, nil
 		}
+		e.hasField = e.hasField || line[0] != ':'
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			if err != nil {
--- a/internal/kcgate/pass.go
+++ b/internal/kcgate/pass.go
@@ -165,9 +165,11 @@
 	began := kcclock.Millis(0)
 	x.events = 0
 	for {
-		if err := resp.SetReadTimeout(gap); err != nil && ctx.Err() == nil {
-			resp.Abort()
-			return err
+		if rd.noise == 0 {
+			if err := resp.SetReadTimeout(gap); err != nil && ctx.Err() == nil {
+				resp.Abort()
+				return err
+			}
 		}
 		ev, err := rd.next()
 		if errors.Is(err, io.EOF) {
