kcupstream, kclease: Bound what engines send without end

The same fault as at the users' door: an engine that failed a streamed request and did not send the body of its failure held the request beyond its deadline, because the connection outlives the request; the body has the idle time now. The state of an engine was read without a limit within its time; it has 1 MiB.

TestFailureWithoutItsBodyEndsTheStream hung before, TestStateOfAnEngineIsBounded read 64 MiB.

--- a/internal/kclease/client.go
+++ b/internal/kclease/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"slices"
 
@@ -17,6 +18,10 @@
 // number, so this lease is over.
 var ErrFenced = errors.New("lease: the engine knows a newer lease")
 
+// maxStateBytes bounds the state of an engine, a list of some versions and
+// adapters.
+const maxStateBytes = 1 << 20
+
 // State is what an engine reports about itself.
 type State struct {
 	ID       string   `json:"id"`
@@ -93,5 +98,5 @@
 	case answer == nil:
 		return nil
 	}
-	return errs.Wrap(json.NewDecoder(resp.Body).Decode(answer))
+	return errs.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(answer))
 }
--- /dev/null
+++ b/internal/kclease/client_test.go
@@ -0,0 +1,35 @@
+package kclease_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kclease"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// Guards against a state of an engine that fills the memory.
+func TestStateOfAnEngineIsBounded(t *testing.T) {
+	sent := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		part := make([]byte, 64<<10)
+		for i := range part {
+			part[i] = ' '
+		}
+		for sent = 0; sent < 64<<20; sent += len(part) {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	}))
+	defer srv.Close()
+	e := &kclease.HTTPEngines{HTTP: srv.Client(), Clock: kcclock.System{}, TimeoutMs: 60_000}
+	if _, err := e.State(t.Context(), srv.Listener.Addr().String()); err == nil {
+		t.Error("a state without an end is accepted")
+	}
+	srv.Close()
+	if sent >= 64<<20 {
+		t.Errorf("%d bytes of a state were read", sent)
+	}
+}
--- a/internal/kcupstream/client_test.go
+++ b/internal/kcupstream/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -192,3 +193,37 @@
 	res := c.Do(context.Background(), target, call)
 	return requests.Load(), res.Err
 }
+
+// Guards against a request that hangs on a failure whose body does not come.
+func TestFailureWithoutItsBodyEndsTheStream(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "9")
+		w.WriteHeader(http.StatusInternalServerError)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer srv.Close()
+	clock, head := kcclock.NewManual(0), make(chan struct{})
+	c := NewClient(Options{
+		Clock: clock, IdleMs: idleMs, MaxAnswerBytes: 10, Observe: func(Target, http.Header, error) { close(head) },
+	})
+	defer c.CloseIdle()
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := c.Stream(t.Context(), Target{ID: "e", Addr: srv.Listener.Addr().String()}, "req", nil)
+		done <- err
+	}()
+	<-head
+	for {
+		select {
+		case err := <-done:
+			var status *StatusError
+			if !errors.As(err, &status) || status.Status != http.StatusInternalServerError {
+				t.Errorf("%v, want the status of the engine", err)
+			}
+			return
+		default:
+			clock.Advance(idleMs)
+		}
+	}
+}
--- a/internal/kcupstream/stream.go
+++ b/internal/kcupstream/stream.go
@@ -248,7 +248,12 @@
 		return errs.Wrap(a.err)
 	}
 	if a.resp.StatusCode != http.StatusOK {
+		// The status is enough if the body does not come.
+		bound, stop := kcclock.WithTimeout(ctx, s.c.opts.Clock, s.c.opts.IdleMs)
+		unhook := context.AfterFunc(bound, cancel)
 		body, _ := io.ReadAll(io.LimitReader(a.resp.Body, maxEventBytes))
+		unhook()
+		stop()
 		_ = a.resp.Body.Close()
 		cancel()
 		return &StatusError{Status: a.resp.StatusCode, Body: body}
