--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	// the peers of all regions. It is below the time of a short answer: the next
 	// request of a session comes after its end.
 	sessionsMs = 50 * kcclock.Millisecond
+	// askedPeers is the number of peers that are asked for what they know: one
+	// or two may be gone.
+	askedPeers = 3
 	// stillMs is the time after which an unchanged state is told again, well
 	// below the time for which it counts.
 	stillMs = 500 * kcclock.Millisecond
@@ -248,19 +252,25 @@
 	p.e.Log.Info("list of instances read", "instances", len(p.list), "otherRegions", len(p.away))
 }
 
-// everyone returns the addresses of the peers in all regions.
+// everyone returns the addresses of the peers in all regions, the nearest first.
 func (p *peers) everyone() []netip.AddrPort {
+	near, far := p.targets()
+	list := slices.Concat(near, far)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := make([]netip.AddrPort, 0, len(p.list)+len(p.away))
-	for _, peers := range []map[string]peerEntry{p.list, p.away} {
-		for _, entry := range peers {
-			list = append(list, entry.Address)
-		}
+	for _, entry := range p.away {
+		list = append(list, entry.Address)
 	}
 	return list
 }
 
+// listKnown reports whether the list of instances was read.
+func (p *peers) listKnown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known
+}
+
 // targets returns the addresses of the peers in the own availability zone and
 // of the others.
 func (p *peers) targets() (near, far []netip.AddrPort) {
@@ -400,10 +410,37 @@
 	}
 }
 
+// askSessions asks some peers for the sessions of an order that this instance
+// has seen late.
+func (p *peers) askSessions(order int64) {
+	list := p.everyone()
+	if len(list) == 0 {
+		if p.listKnown() {
+			p.e.gate.Orders.CaughtUp(order)
+		}
+		return
+	}
+	p.send(kcload.EncodeSessionsQuery(order), list[:min(len(list), askedPeers)])
+}
+
+// answerSessions answers such a query.
+func (p *peers) answerSessions(order int64, to netip.AddrPort) {
+	m, ok := p.e.gate.Orders.KnownSessions(order)
+	if !ok {
+		return
+	}
+	for _, raw := range kcload.EncodeSessions(m) {
+		p.send(raw, []netip.AddrPort{to})
+	}
+}
+
 // sessionTeller tells the others of sessions that stay at their version.
 type sessionTeller struct{ toldAt, allAt kcclock.Millis }
 
 func (s *sessionTeller) tell(p *peers, now kcclock.Millis) {
+	for _, order := range p.e.gate.Orders.Behind() {
+		p.askSessions(order)
+	}
 	if now-s.toldAt < sessionsMs {
 		return
 	}
@@ -430,7 +467,7 @@
 	defer stop()
 	buf := make([]byte, kcload.MaxBytes)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return
 		}
@@ -438,14 +475,21 @@
 			p.e.metrics.Count("peers.readFailed")
 			continue
 		}
-		if err := p.takeMessage(buf[:n]); err != nil {
+		if err := p.takeMessage(buf[:n], from); err != nil {
 			p.e.metrics.Count("peers.badMessage")
 		}
 	}
 }
 
 // takeMessage takes a message of a peer.
-func (p *peers) takeMessage(raw []byte) error {
+func (p *peers) takeMessage(raw []byte, from netip.AddrPort) error {
+	if kcload.IsSessionsQuery(raw) {
+		order, err := kcload.DecodeSessionsQuery(raw)
+		if err == nil {
+			p.answerSessions(order, from)
+		}
+		return err
+	}
 	if kcload.IsSessions(raw) {
 		m, err := kcload.DecodeSessions(raw)
 		if err == nil {
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -28,7 +28,10 @@
 	startedAt kcclock.Millis
 	live      bool
 	// others are the sessions that stay at another version.
-	others   otherSessions
+	others otherSessions
+	// caughtUp is closed once another instance has told all that it knows of
+	// them. It is nil if the order was seen as it was written.
+	caughtUp chan struct{}
 	evidence *kcrollout.Evidence
 	detector *kcrollout.Detector
 	// held is set once the log tells that the order waits for more evidence.
@@ -79,6 +82,9 @@
 		order: order, evidence: kcrollout.NewEvidence(), detector: kcrollout.NewOrderDetector(o.opts.Clock.Now(), order),
 	}
 	next.startedAt, next.live = o.opts.Clock.Now(), live
+	if !live {
+		next.caughtUp = make(chan struct{})
+	}
 	o.collect(next)
 	if s != nil {
 		next.progress = s.progress
@@ -92,9 +98,7 @@
 func (o *Orders) StatesRead() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	select {
-	case <-o.stateRead:
-	default:
+	if !isClosed(o.stateRead) {
 		close(o.stateRead)
 	}
 }
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -216,10 +216,7 @@
 	ctx, cancel := x.untilDeadline()
 	defer cancel()
 	x.service = x.route.Service(point(x.ask.ID))
-	if x.g.Orders.unread(x.service) {
-		// Without the state, the request is served as if the order had not begun.
-		x.g.start.awaitOne(ctx, x.g.Clock, x.g.Orders.stateRead)
-	}
+	x.awaitOrder(ctx)
 	x.g.countFirst(x.service)
 	defer func() {
 		if x.entered {
@@ -229,6 +226,18 @@
 	x.attempts(ctx)
 }
 
+// awaitOrder waits for what an instance that has seen an order late has to know
+// for the version of a session. Without it, the request is served all the same.
+func (x *exchange) awaitOrder(ctx context.Context) {
+	g := x.g
+	if g.Orders.unread(x.service) {
+		awaitUntil(ctx, g.Clock, g.Orders.stateRead, g.start.began+startMs)
+	}
+	if known, until := g.Orders.await(x.session()); known != nil {
+		awaitUntil(ctx, g.Clock, known, until)
+	}
+}
+
 // untilDeadline returns a context that ends at the deadline or when the caller
 // leaves. Its cause tells which.
 func (x *exchange) untilDeadline() (context.Context, context.CancelFunc) {
--- a/internal/kcgate/sessions.go
+++ b/internal/kcgate/sessions.go
@@ -179,6 +179,73 @@
 	return out
 }
 
+// behind reports whether an order was seen so late that others have to tell of
+// their sessions first.
+func (o *Orders) behind(s *serviceOrder) bool {
+	return s.gathering() && s.caughtUp != nil && !isClosed(s.caughtUp) && o.opts.Clock.Now()-s.startedAt < startMs
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Behind returns the orders about whose sessions others have to be asked.
+func (o *Orders) Behind() (orders []int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range o.services {
+		if o.behind(s) {
+			orders = append(orders, s.order.Offset)
+		}
+	}
+	return orders
+}
+
+// await returns a channel that is closed once the version of a session can be
+// told, and the time at which it is told anyway. The channel is nil if there is
+// nothing to wait for.
+func (o *Orders) await(key sessionKey) (known <-chan struct{}, until kcclock.Millis) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.services[key.service]
+	if s == nil || key.name == "" || !o.behind(s) ||
+		point(key.name) >= kcrollout.FirstShare(o.opts.Deployment.Bounds.ExposureShare) {
+		return nil, 0
+	}
+	return s.caughtUp, s.startedAt + startMs
+}
+
+// KnownSessions returns all sessions that stay at another version than the
+// target of an order, for an instance that has asked. It returns false if this
+// instance does not know the order.
+func (o *Orders) KnownSessions(order int64) (m kcload.Sessions, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.opts.Clock.Now()
+	m = kcload.Sessions{Instance: o.opts.Deployment.Instance, Order: order, Whole: true}
+	for _, s := range o.services {
+		if s.order.Offset != order || !s.gathering() || o.behind(s) {
+			continue
+		}
+		for hash, key := range s.others.own {
+			m.Sessions = append(m.Sessions, kcload.Session{Hash: hash, AgeMs: int(o.pins[key].age(now))})
+		}
+		for hash, t := range s.others.told {
+			m.Sessions = append(m.Sessions, kcload.Session{Hash: hash, AgeMs: int(now - t.at)})
+		}
+		ok = true
+	}
+	return m, ok
+}
+
+// CaughtUp notes that there is no instance to ask.
+func (o *Orders) CaughtUp(order int64) { o.HearSessions(kcload.Sessions{Order: order, Whole: true}) }
+
 // HearSessions takes the sessions of another instance.
 func (o *Orders) HearSessions(m kcload.Sessions) {
 	o.mu.Lock()
@@ -200,5 +267,8 @@
 				s.others.told[session.Hash] = toldSession{m.Instance, at}
 			}
 		}
+		if m.Whole && s.caughtUp != nil && !isClosed(s.caughtUp) {
+			close(s.caughtUp)
+		}
 	}
 }
--- a/internal/kcgate/start.go
+++ b/internal/kcgate/start.go
@@ -25,17 +25,17 @@
 // await waits until the instance knows enough to serve, and reports whether it
 // does.
 func (s *startState) await(ctx context.Context, clock kcclock.Clock) bool {
-	return s.awaitOne(ctx, clock, s.table) && s.awaitOne(ctx, clock, s.upstreams)
+	until := s.began + startMs
+	return awaitUntil(ctx, clock, s.table, until) && awaitUntil(ctx, clock, s.upstreams, until)
 }
 
-// awaitOne waits for one of the things that an instance reads at its start.
-func (s *startState) awaitOne(ctx context.Context, clock kcclock.Clock, known <-chan struct{}) bool {
-	select {
-	case <-known:
+// awaitUntil waits until something is known or a time has come, and reports
+// whether it is known.
+func awaitUntil(ctx context.Context, clock kcclock.Clock, known <-chan struct{}, until kcclock.Millis) bool {
+	if isClosed(known) {
 		return true
-	default:
 	}
-	left := s.began + startMs - clock.Now()
+	left := until - clock.Now()
 	if left <= 0 {
 		return false
 	}
--- a/internal/kcgate/start_test.go
+++ b/internal/kcgate/start_test.go
@@ -77,6 +77,7 @@
 	}
 	started.Orders.SetProgress(kctable.Progress{Service: "svc", Target: "v2", Order: 1, Opened: true})
 	started.Orders.StatesRead()
+	started.Orders.CaughtUp(order.Offset)
 	<-ended
 	if n := len(target.requests()); n != 1 {
 		t.Errorf("%d requests at the target, %d at the old version", n, len(old.requests()))
@@ -84,5 +85,6 @@
 	// An order whose state nobody has published does not keep requests waiting.
 	order.Offset = 2
 	started.Orders.SetOrder(order, false)
+	started.Orders.CaughtUp(order.Offset)
 	f.askSession(t, "/a/x", session)
 }
--- a/internal/kcgate/told_test.go
+++ b/internal/kcgate/told_test.go
@@ -167,3 +167,38 @@
 		t.Errorf("a session of the target moved from %s to %s", was, got)
 	}
 }
+
+// Guards against an instance that has just started and moves sessions that it
+// served before, or that others serve, to the target.
+func TestStartedInstanceCatchesUp(t *testing.T) {
+	f := newOrderFleet(3)
+	names := targetNames(2)
+	f.ask(0, names[0])
+	f.ask(2, names[1])
+	f.order()
+	f.clock.Advance(kcrollout.GatherMs)
+	f.tell(true)
+	f.conclude(1)
+	started := newTestOrders(f.clock)
+	started.SetOrder(kctable.Order{Service: "s", Target: "v2", SpanMs: 24_000, Offset: 3}, false)
+	started.SetProgress(f.all[1].services["s"].progress)
+	if known, _ := started.await(sessionKey{"s", names[0]}); known == nil || isClosed(known) {
+		t.Error("a session of the share need not wait")
+	}
+	for _, order := range started.Behind() {
+		m, ok := f.all[1].KnownSessions(order)
+		if !ok || len(m.Sessions) != 2 {
+			t.Errorf("%+v, %v: want both sessions", m, ok)
+		}
+		started.HearSessions(m)
+	}
+	f.all[0] = started
+	for _, name := range names {
+		if known, _ := started.await(sessionKey{"s", name}); known != nil {
+			t.Error("a session waits although all is known")
+		}
+		if got := f.ask(0, name); got != "v1" {
+			t.Errorf("session %s moved to %s", name, got)
+		}
+	}
+}
--- a/internal/kcload/sessions.go
+++ b/internal/kcload/sessions.go
@@ -8,7 +8,10 @@
 type Sessions struct {
 	Instance string
 	// Order is the offset of the order's record.
-	Order    int64
+	Order int64
+	// Whole is true if these are all sessions that the instance knows of, in the
+	// answer to a query.
+	Whole    bool
 	Sessions []Session
 }
 
@@ -20,16 +23,41 @@
 	AgeMs int
 }
 
-// sessionsFormat is the first byte of these messages.
-const sessionsFormat = 2
+// The first byte of these messages.
+const (
+	sessionsFormat      = 2
+	sessionsQueryFormat = 3
+)
 
 // IsSessions reports whether a message is one of Sessions.
 func IsSessions(b []byte) bool { return len(b) > 0 && b[0] == sessionsFormat }
 
+// IsSessionsQuery reports whether a message asks for Sessions.
+func IsSessionsQuery(b []byte) bool { return len(b) > 0 && b[0] == sessionsQueryFormat }
+
+// EncodeSessionsQuery returns a message that asks for the sessions of an order.
+func EncodeSessionsQuery(order int64) []byte {
+	return binary.AppendUvarint([]byte{sessionsQueryFormat}, uint64(max(order, 0)))
+}
+
+// DecodeSessionsQuery returns the order that a message asks for.
+func DecodeSessionsQuery(raw []byte) (int64, error) {
+	d := decoder{b: raw[1:]}
+	return int64(d.number() & maxOffset), d.err
+}
+
+// wholeFlag marks an answer to a query.
+const wholeFlag = 1
+
 // EncodeSessions returns the bytes of m, in as many messages as it takes.
 func EncodeSessions(m Sessions) [][]byte {
 	head := appendString([]byte{sessionsFormat}, m.Instance)
 	head = binary.AppendUvarint(head, uint64(max(m.Order, 0)))
+	if m.Whole {
+		head = append(head, wholeFlag)
+	} else {
+		head = append(head, 0)
+	}
 	var out [][]byte
 	b := head[:len(head):len(head)]
 	for _, s := range m.Sessions {
@@ -41,7 +69,7 @@
 		}
 		b = next
 	}
-	if len(b) > len(head) {
+	if len(b) > len(head) || m.Whole && out == nil {
 		out = append(out, b)
 	}
 	return out
@@ -50,7 +78,7 @@
 // DecodeSessions reads a message of Sessions.
 func DecodeSessions(raw []byte) (Sessions, error) {
 	d := decoder{b: raw[1:]}
-	m := Sessions{Instance: d.string(), Order: int64(d.number() & maxOffset)}
+	m := Sessions{Instance: d.string(), Order: int64(d.number() & maxOffset), Whole: d.number()&wholeFlag != 0}
 	for len(d.b) > 0 && d.err == nil {
 		if len(d.b) < 8 {
 			return m, errCut
