--- a/internal/kcgate/report.go
+++ b/internal/kcgate/report.go
@@ -6,6 +6,9 @@
 // logged: callers choose it.
 const maxSessionLog = 64
 
+// logged returns the part of the name of a session that is logged.
+func logged(session string) string { return session[:min(len(session), maxSessionLog)] }
+
 // report writes the line of a request to the log and counts it.
 func (x *exchange) report() {
 	took := x.g.Clock.Now() - x.received
@@ -24,7 +27,7 @@
 		slog.Int64("config", version), slog.Int64("configAgeMs", int64(x.configAge)),
 	}
 	if x.ask.Session != "" {
-		attrs = append(attrs, slog.String("session", x.ask.Session[:min(len(x.ask.Session), maxSessionLog)]))
+		attrs = append(attrs, slog.String("session", logged(x.ask.Session)))
 	}
 	if x.firstEvent > 0 {
 		first := x.firstEvent - x.received
--- a/internal/kcgate/sessions.go
+++ b/internal/kcgate/sessions.go
@@ -117,13 +117,24 @@
 		o.dropPins()
 	}
 	p := o.pins[key]
+	if s := o.services[key.service]; s != nil {
+		o.warnOfMove(s, key, p, version)
+		o.keep(s, key, version)
+	}
 	if p.version = version; first {
 		p.running++
 	}
 	o.pins[key] = p
-	if s := o.services[key.service]; s != nil {
-		o.keep(s, key, version)
+}
+
+// warnOfMove logs that a session changes its version when it should not.
+func (o *Orders) warnOfMove(s *serviceOrder, key sessionKey, p pin, version string) {
+	age := p.age(o.opts.Clock.Now())
+	if p.version == "" || p.version == version || age >= o.opts.Deployment.Bounds.SessionMs || !s.gathering() {
+		return
 	}
+	o.opts.Log.Warn("session moved", "service", key.service, "session", logged(key.name), "from", p.version, "to", version,
+		"ageMs", age, "order", s.order.Offset)
 }
 
 // leave notes that a request ended for which enter was called.
--- a/internal/kcgate/told_test.go
+++ b/internal/kcgate/told_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
@@ -245,3 +247,23 @@
 		}
 	}
 }
+
+// Guards against a session that changes its version unseen.
+func TestMoveOfASessionIsLogged(t *testing.T) {
+	f := newOrderFleet(1)
+	var log strings.Builder
+	o := f.all[0]
+	o.opts.Log = slog.New(slog.NewTextHandler(&log, nil))
+	f.order()
+	key := sessionKey{"s", "x"}
+	for _, version := range []string{"v1", "v1", "v2"} {
+		if strings.Contains(log.String(), "session moved") {
+			t.Errorf("logged before it moved: %s", log.String())
+		}
+		o.enter(key, version, true)
+		o.leave(key)
+	}
+	if want := `msg="session moved" service=s session=x from=v1 to=v2`; !strings.Contains(log.String(), want) {
+		t.Errorf("log %q, want %q", log.String(), want)
+	}
+}
