kcedge: Let the instance with the fastest link read for its availability zone

Two instances of each zone have 200 Mbit/s. The rank of a reader is now its link, then its hash; entries of instances state the link.

TestReaderHasTheFastestLink.

--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -50,6 +50,23 @@
 	Zone    string         `json:"zone"`
 	Region  string         `json:"region"`
 	Address netip.AddrPort `json:"address"`
+	// LinkMbps is the bandwidth of its machine in Mbit/s, 0 if unknown.
+	LinkMbps int `json:"linkMbps,omitempty"`
+}
+
+// rank orders the instances that may read for an availability zone: the lists
+// that a reader passes on fill a slow link.
+type rank struct {
+	linkMbps int
+	hash     uint64
+}
+
+func (r rank) above(other rank) bool {
+	return r.linkMbps > other.linkMbps || r.linkMbps == other.linkMbps && r.hash > other.hash
+}
+
+func (e peerEntry) rank(zone, name string) rank {
+	return rank{e.LinkMbps, kcset.RendezvousHash(zone, name)}
 }
 
 // peers tells the other instances of the region about the work of this one.
@@ -114,12 +131,12 @@
 
 // chooseReader returns the address of the instance that reads the store for an
 // availability zone: of those that were heard lately and own, the one with the
-// highest hash. Where the store rejects all of a zone, one of another zone of
+// highest rank. Where the store rejects all of a zone, one of another zone of
 // the region reads for it. It returns false if own has to read.
 func chooseReader(own kctable.Deployment, heard map[string]peerEntry, failing bool) (string, bool) {
-	best, most := "", uint64(0)
+	best, most := "", rank{}
 	if !failing {
-		most = kcset.RendezvousHash(own.Zone, own.Instance)
+		most = peerEntry{LinkMbps: own.LinkMbps}.rank(own.Zone, own.Instance)
 	}
 	near := false
 	for name, entry := range heard {
@@ -127,9 +144,9 @@
 		if !isNear && (!failing || near) {
 			continue
 		}
-		h := kcset.RendezvousHash(own.Zone, name)
-		if isNear && !near && failing || h > most {
-			best, most, near = entry.Address.String(), h, isNear
+		r := entry.rank(own.Zone, name)
+		if isNear && !near && failing || r.above(most) {
+			best, most, near = entry.Address.String(), r, isNear
 		}
 	}
 	return best, best != ""
@@ -286,7 +303,7 @@
 		return
 	}
 	d := p.e.Deployment
-	entry := peerEntry{Zone: d.Zone, Region: d.Region, Address: addr}
+	entry := peerEntry{Zone: d.Zone, Region: d.Region, Address: addr, LinkMbps: d.LinkMbps}
 	raw, err := json.Marshal(entry)
 	if err != nil {
 		p.e.Log.Error("entry of the instance not written", "error", err)
@@ -321,9 +338,10 @@
 func (p *peers) first() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own, ahead := kcset.RendezvousHash(p.e.Deployment.Zone, p.e.Deployment.Instance), 0
+	d := p.e.Deployment
+	own, ahead := peerEntry{LinkMbps: d.LinkMbps}.rank(d.Zone, d.Instance), 0
 	for name, entry := range p.list {
-		if entry.Zone == p.e.Deployment.Zone && kcset.RendezvousHash(entry.Zone, name) > own {
+		if entry.Zone == d.Zone && entry.rank(d.Zone, name).above(own) {
 			ahead++
 		}
 	}
--- a/internal/kcedge/peers_test.go
+++ b/internal/kcedge/peers_test.go
@@ -1,6 +1,7 @@
 package kcedge
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 
@@ -11,6 +12,28 @@
 	return peerEntry{Zone: zone, Region: "r", Address: netip.MustParseAddrPort(addr)}
 }
 
+// Guards against an instance with a slow link that relays the lists to a whole
+// availability zone while one with a fast link could.
+func TestReaderHasTheFastestLink(t *testing.T) {
+	heard := make(map[string]peerEntry)
+	for i := range 12 {
+		e := entryOf("a", fmt.Sprintf("10.0.0.%d:1", i+1))
+		if e.LinkMbps = 10; i == 5 {
+			e.LinkMbps = 200
+		}
+		heard[fmt.Sprint("a", i)] = e
+	}
+	fast := heard["a5"].Address.String()
+	own := kctable.Deployment{Instance: "own", Zone: "a", LinkMbps: 10}
+	if got, other := chooseReader(own, heard, false); !other || got != fast {
+		t.Errorf("%s reads, want %s", got, fast)
+	}
+	own.LinkMbps = 1000
+	if got, other := chooseReader(own, heard, false); other {
+		t.Errorf("%s reads for an instance with a faster link", got)
+	}
+}
+
 // Guards against instances of an availability zone that choose different
 // readers, and against a zone that has none although one of the region can
 // read: in an incident the store rejected both instances of a zone, and these
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -21,6 +21,8 @@
 	PeerAddr string
 	// MemoryMB is the limit at which the process is killed.
 	MemoryMB int
+	// LinkMbps is the bandwidth of the machine in Mbit/s, 0 if unknown.
+	LinkMbps int
 	Bounds   Bounds
 }
 
