kcfeed: Compress large answers to peers, and let them take their time

A configuration of some hundred kilobytes was passed on in JSON with base64, to each of ten peers. On a link of 10 Mbit/s that takes five seconds, while a peer gave up 0.25 s after its wait, so that what had been sent was lost and sent again. Answers from 4 KiB on are compressed now, with values as texts (a tenth of the bytes), for peers that accept it; others get the old form. A peer reads an answer for as long as bytes arrive, at most 1.5 s, and counts that time as age.

TestLargePagesAreCompressed, TestAnswerOfAPeerMayTakeItsTime (the old code gives up).

--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+	"github.com/kingcuprail/kingcuprail/platform/kcplatformtest"
 )
 
 // memory is a store that answers at once and counts its calls.
@@ -410,3 +413,79 @@
 		t.Errorf("%+v, %v, wait %d at the store: want the record without another wait", page, err, m.wait)
 	}
 }
+
+// Guards against a large configuration that fills the link of the instance which
+// passes it on, and against records that change on the way.
+func TestLargePagesAreCompressed(t *testing.T) {
+	clock, m := kcclock.NewManual(1000), &memory{}
+	routes := strings.Repeat(`{"name":"r-y4y8x7n","host":"a.example","path_prefix":"/lohu930/","type":"streaming"},`, 2000)
+	m.add("config", routes)
+	m.add("binary", strings.Repeat("\xff\x00", 100))
+	m.add("gone", "")
+	f := newFollow(t, m, clock, 100)
+	f.until(clock)
+	addr := relayed(t, f.Follower, clock, m)
+	sent := 0
+	proxy := kcplatformtest.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+addr+r.URL.String(), nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Header = r.Header
+		resp, err := (&http.Transport{DisableCompression: true}).RoundTrip(req)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		w.Header().Set("Content-Encoding", resp.Header.Get("Content-Encoding"))
+		n, err := io.Copy(w, resp.Body)
+		if sent = int(n); err != nil {
+			t.Error(err)
+		}
+	}))
+	pool := kcconn.NewPool(kcconn.Options{Clock: clock, DialMs: 1000, UnackedMs: 3000, IdleMs: 4000, MaxIdle: 1})
+	t.Cleanup(pool.Close)
+	p := &kcfeed.PeerReader{
+		Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Peer: func() (string, bool) { return proxy, true }, MaxAgeMs: 5000, DirectMs: 500,
+	}
+	page, err := p.Newest(context.Background(), "t")
+	if err != nil || len(page.Records) != 3 {
+		t.Fatalf("%d records, %v", len(page.Records), err)
+	}
+	want := map[string]string{"config": routes, "binary": strings.Repeat("\xff\x00", 100), "gone": ""}
+	for _, r := range page.Records {
+		if string(r.Value) != want[r.Key] {
+			t.Errorf("record %s has changed: %d bytes, want %d", r.Key, len(r.Value), len(want[r.Key]))
+		}
+	}
+	if sent > len(routes)/10 {
+		t.Errorf("%d bytes for a configuration of %d", sent, len(routes))
+	}
+}
+
+// Guards against a large answer of a peer that is given up while it arrives.
+func TestAnswerOfAPeerMayTakeItsTime(t *testing.T) {
+	clock, m := kcclock.NewManual(1000), &memory{}
+	m.add("a", "store")
+	const answer = `{"ageMs":0,"records":[{"key":"a","value":"cGVlcg==","offset":0}]}`
+	peer := kcplatformtest.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, answer[:20])
+		_ = http.NewResponseController(w).Flush()
+		clock.AwaitWaiters(2) // for the head, and now for the body
+		clock.Advance(400)
+		_, _ = io.WriteString(w, answer[20:])
+	}))
+	pool := kcconn.NewPool(kcconn.Options{Clock: clock, DialMs: 1000, UnackedMs: 3000, IdleMs: 4000, MaxIdle: 1})
+	t.Cleanup(pool.Close)
+	p := &kcfeed.PeerReader{
+		Store: m, Pool: pool, Clock: clock, Log: slog.New(slog.DiscardHandler),
+		Peer: func() (string, bool) { return peer, true }, MaxAgeMs: 5000, DirectMs: 500,
+	}
+	page, err := p.Read(context.Background(), "t", 0, 0)
+	if err != nil || len(page.Records) != 1 || string(page.Records[0].Value) != "peer" {
+		t.Fatalf("%+v, %v: want the answer of the peer", page, err)
+	}
+}
--- a/internal/kcfeed/relay.go
+++ b/internal/kcfeed/relay.go
@@ -1,6 +1,7 @@
 package kcfeed
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -10,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/zeebo/errs"
 
@@ -95,8 +97,54 @@
 	Whole   bool     `json:"whole,omitempty"`
 	End     int64    `json:"end,omitempty"`
 	Records []Record `json:"records"`
+	// Texts replaces Records in compressed answers: values that are texts, as
+	// most are, get ten times smaller than in base64.
+	Texts []textRecord `json:"texts,omitempty"`
 }
 
+// textRecord is a record whose value is a text, or one like any other.
+type textRecord struct {
+	Record
+	Text string `json:"text,omitempty"`
+}
+
+// pack moves the records to Texts, and unpack moves them back.
+func (p *wirePage) pack() {
+	for _, r := range p.Records {
+		t := textRecord{Record: r}
+		if utf8.Valid(r.Value) {
+			t.Text, t.Value = string(r.Value), nil
+		}
+		p.Texts = append(p.Texts, t)
+	}
+	p.Records = nil
+}
+
+func (p *wirePage) unpack() {
+	for _, t := range p.Texts {
+		if t.Text != "" {
+			t.Value = []byte(t.Text)
+		}
+		p.Records = append(p.Records, t.Record)
+	}
+	p.Texts = nil
+}
+
+func (p *wirePage) valueBytes() (n int) {
+	for _, r := range p.Records {
+		n += len(r.Value)
+	}
+	return n
+}
+
+const (
+	// gzipName is the encoding that peers accept.
+	gzipName = "gzip"
+	// packBytes is the size from which an answer is compressed: two packets on
+	// an Ethernet link are not worth the work.
+	packBytes = 4 << 10
+)
+
 // Relay serves what followers have read to peers, so that not every instance
 // has to ask the store.
 type Relay struct {
@@ -170,12 +218,23 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	r.write(w, wirePage{AgeMs: r.Clock.Now() - askedAt, Whole: true, End: page.End, Records: page.Records})
+	r.write(w, req, wirePage{AgeMs: r.Clock.Now() - askedAt, Whole: true, End: page.End, Records: page.Records})
 }
 
-func (r *Relay) write(w http.ResponseWriter, page wirePage) {
+func (r *Relay) write(w http.ResponseWriter, req *http.Request, page wirePage) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(page); err != nil {
+	out := io.Writer(w)
+	if req.Header.Get("Accept-Encoding") == gzipName && page.valueBytes() >= packBytes {
+		page.pack()
+		w.Header().Set("Content-Encoding", gzipName)
+		zip, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+		if err != nil {
+			panic(err) // the level is valid
+		}
+		defer func() { _ = zip.Close() }() // the peer notices what is missing
+		out = zip
+	}
+	if err := json.NewEncoder(out).Encode(page); err != nil {
 		panic(http.ErrAbortHandler) // the peer is gone
 	}
 }
@@ -211,7 +270,7 @@
 		r.serveNewest(w, req, topic)
 		return
 	}
-	r.write(w, wirePage{AgeMs: age, Records: records})
+	r.write(w, req, wirePage{AgeMs: age, Records: records})
 }
 
 // PeerReader reads from a peer while that knows enough, and otherwise from the
@@ -348,22 +407,63 @@
 	// for a call of the store.
 	peerCallMs = 250 * kcclock.Millisecond
 	nextCallMs = 100 * kcclock.Millisecond
+	// bodyMs bounds the body of an answer: a configuration of 2,000 routes for
+	// ten peers on a link of 10 Mbit/s, compressed, takes a third of it. A body
+	// that stands still for bodyStallMs has ended.
+	bodyMs      = 1500 * kcclock.Millisecond
+	bodyStallMs = 250 * kcclock.Millisecond
 )
 
+// steadyBody is a body that may take its time while bytes arrive.
+type steadyBody struct{ resp *kcconn.Response }
+
+// Read reads the body.
+func (b steadyBody) Read(p []byte) (int, error) {
+	if err := b.resp.SetReadTimeout(bodyStallMs); err != nil {
+		return 0, err
+	}
+	return b.resp.Body.Read(p)
+}
+
+// readPage reads the answer of a peer.
+func readPage(resp *kcconn.Response) ([]byte, error) {
+	var body io.Reader = steadyBody{resp}
+	if resp.Header.Get("Content-Encoding") == gzipName {
+		zip, err := gzip.NewReader(body)
+		if err != nil {
+			return nil, err
+		}
+		body = zip
+	}
+	return io.ReadAll(io.LimitReader(body, maxPageBytes))
+}
+
 func (p *PeerReader) ask(
 	ctx context.Context, addr, topic string, from int64, wait, limit kcclock.Millis,
 ) (Page, error) {
 	page := Page{End: from, WaitedMs: wait}
-	ctx, cancel := kcclock.WithTimeout(ctx, p.Clock, wait+limit)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	head, stop := kcclock.WithTimeout(ctx, p.Clock, wait+limit)
+	defer stop()
+	unhook := context.AfterFunc(head, cancel)
 	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "waitMs": {strconv.FormatInt(int64(wait), 10)}}
 	resp, err := p.Pool.Do(ctx, addr, &kcconn.Request{
-		Method: http.MethodGet, Target: FeedPath + topic + "?" + query.Encode(), Host: addr, Header: http.Header{},
+		Method: http.MethodGet, Target: FeedPath + topic + "?" + query.Encode(), Host: addr,
+		Header: http.Header{"Accept-Encoding": {gzipName}},
 	})
 	if err != nil {
 		return page, err
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	began := p.Clock.Now()
+	if !unhook() {
+		resp.Abort()
+		return page, context.Cause(head)
+	}
+	body, stopBody := kcclock.WithTimeout(ctx, p.Clock, bodyMs)
+	defer stopBody()
+	defer context.AfterFunc(body, cancel)()
+	raw, err := readPage(resp)
 	if err != nil {
 		resp.Abort()
 		return page, err
@@ -376,7 +476,9 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return page, err
 	}
-	page.AgeMs = max(w.AgeMs, 0)
+	w.unpack()
+	// A large answer takes some time on a slow link.
+	page.AgeMs = max(w.AgeMs, 0) + p.Clock.Now() - began
 	if w.Whole {
 		page.Whole, page.Records, page.End = true, w.Records, w.End
 		return page, nil
