--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -93,7 +93,7 @@
 		next.known = s.progress.Order == order.Offset && s.progress.Target == order.Target
 		next.settled, next.dropped = s.settled, s.dropped
 		if s.order.Offset >= 0 && s.known {
-			next.settled, next.dropped = leaves(s.progress, s.settled, s.dropped)
+			next.settled, next.dropped = afterOrder(s.progress, s.settled, s.dropped)
 		}
 	}
 	o.collect(next)
@@ -134,7 +134,7 @@
 	s.known = p.Order == s.order.Offset && p.Target == s.order.Target
 	if p.Order < s.order.Offset {
 		// The end of the order before was seen after this one.
-		s.settled, s.dropped = leaves(p, s.settled, s.dropped)
+		s.settled, s.dropped = afterOrder(p, s.settled, s.dropped)
 		o.collect(s)
 	}
 	return changed
@@ -244,7 +244,8 @@
 	target := s.order.Target
 	if s.order.Offset < 0 {
 		// The progress was read before the order.
-		p.allows = func(v string) bool { return (v != s.progress.Target) || s.progress.Stage == kctable.Complete }
+		progress := s.progress
+		p.allows = func(v string) bool { return v != progress.Target || progress.Stage == kctable.Complete }
 		return p
 	}
 	if o.stopped(s, &p) {
--- a/internal/kcgate/sessions.go
+++ b/internal/kcgate/sessions.go
@@ -61,9 +61,9 @@
 	return p
 }
 
-// leaves returns what an order leaves to the next one of its service, given what
-// it found.
-func leaves(p kctable.Progress, settled, dropped string) (nowSettled, nowDropped string) {
+// afterOrder returns which versions of a service an order has put into force and
+// taken back, given those before it.
+func afterOrder(p kctable.Progress, settled, dropped string) (nowSettled, nowDropped string) {
 	switch p.Stage {
 	case kctable.Complete:
 		return p.Target, ""
