kcjob: Bound the wait for the acceptance of a job

A caller of POST /v1/jobs waited without limit when the log went down after the answer to an append had been lost: the append was tried again until the caller left. After 10 s it is told that the outcome is unknown, which is true: the record may still be accepted, and has the same id if it is.

TestSubmitEndsWhileTheLogIsDown hung before. It explains the stall of TestEffectsUnderFaults (stacks: two callers wait for POST /v1/jobs, no further tries, so that the fault in force never ends), but the logs of the instances are gone, so that the finding stays open.

--- a/internal/kcjob/queue.go
+++ b/internal/kcjob/queue.go
@@ -17,6 +17,9 @@
 	readLimit = 1000
 	// retryMs is the time between two tries to append.
 	retryMs = 200 * kcclock.Millisecond
+	// submitMs bounds the wait of a caller until its job is in the log: twice the
+	// time of one append.
+	submitMs = 10 * kcclock.Second
 	// forgetMs is the time after which the fold of a shard that others own is
 	// dropped; it is read again when a caller asks.
 	forgetMs = 5 * kcclock.Minute
@@ -129,7 +132,8 @@
 
 // Submit accepts a job once its record is in the log and returns its status.
 // If keyed is true, the id follows from an idempotency key and may be that of
-// an earlier job, which is then returned.
+// an earlier job, which is then returned. If the log goes down after an answer
+// was lost, the job may be accepted later, and the error says so.
 func (q *Queue) Submit(ctx context.Context, j Job, keyed bool) (kcapi.JobStatus, *kcapi.Error) {
 	s := q.shardOf(j.ID)
 	if keyed {
@@ -143,6 +147,8 @@
 	if err := q.admit(s); err != nil {
 		return kcapi.JobStatus{}, err
 	}
+	ctx, cancel := kcclock.WithTimeout(ctx, q.opts.Clock, submitMs)
+	defer cancel()
 	rec := kclog.Encode(KindJob+"-"+j.RequestID, KindJob, j)
 	execution := kcapi.NotRun
 	for {
--- /dev/null
+++ b/internal/kcjob/submit_test.go
@@ -0,0 +1,53 @@
+package kcjob
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/pkg/kcapi"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+	"github.com/kingcuprail/kingcuprail/pkg/kclog"
+)
+
+// lostLog loses the answer to the first append and is down from then on.
+type lostLog struct {
+	kclog.Log
+	appends int
+}
+
+func (l *lostLog) Append(context.Context, string, []kclog.NewRecord) (int64, error) {
+	if l.appends++; l.appends == 1 {
+		return 0, kclog.ErrAnswerLost
+	}
+	return 0, kclog.ErrUnavailable
+}
+
+// noBills is a ledger without bills.
+type noBills struct{ Ledger }
+
+func (noBills) Full() bool { return false }
+
+// Guards against a caller that waits without limit for the acceptance of a job,
+// because the log went down after the answer to an append was lost.
+func TestSubmitEndsWhileTheLogIsDown(t *testing.T) {
+	clock := kcclock.NewManual(0)
+	q := NewQueue(Options{Log: &lostLog{}, Clock: clock, Shards: 1, MaxQueued: 10, Ledger: noBills{}})
+	done := make(chan *kcapi.Error, 1)
+	go func() {
+		_, err := q.Submit(context.Background(), Job{ID: "j", RequestID: "r"}, false)
+		done <- err
+	}()
+	for {
+		select {
+		case err := <-done:
+			if err == nil || err.Execution != kcapi.Unknown {
+				t.Errorf("%+v, want the execution unknown", err)
+			}
+			return
+		default:
+			clock.Advance(retryMs)
+			runtime.Gosched()
+		}
+	}
+}
