kcprogram: Scan all output before a program counts as ended

Cause: the end of a program was reported when its output was in the buffer of the scanner, not when the scanner had seen it. A test that looked for the line "stopping" of an instance that stopped within 5 ms took it for one that had ended without a graceful shutdown (TestEffectsUnderFaults, effects_test.go:164).

--- a/internal/kcprogram/program.go
+++ b/internal/kcprogram/program.go
@@ -33,7 +33,8 @@
 type Process struct {
 	Name string
 	cmd  *exec.Cmd
-	// ended is closed after the process has ended and exit is valid.
+	// ended is closed after the process has ended and all its output was scanned.
+	// waitErr is valid from then on.
 	ended   chan struct{}
 	waitErr error
 	// stopping is closed when the program logs that it is stopping.
@@ -57,10 +58,15 @@
 		tb.Fatal(err)
 	}
 	readyMatch := make(chan []string, 1)
-	go p.scanOutput(r, ready, readyMatch)
+	scanned := make(chan struct{})
+	go func() {
+		defer close(scanned)
+		p.scanOutput(r, ready, readyMatch)
+	}()
 	go func() {
 		p.waitErr = p.cmd.Wait()
 		_ = w.Close()
+		<-scanned
 		close(p.ended)
 	}()
 	tb.Cleanup(p.Kill)
