kcpeer: Refuse messages of another deployment

Cause: messages between instances did not say which deployment and log they belong to. An instance of another deployment at the address of a listed peer decided claims in its own log, where they guard nothing. This is the likely cause of the order that ran twice in TestScripts/examples, while another deployment listened at the peer addresses of the examples.

Requests and responses carry a hash of the name of the deployment (new setting platform.deployment) and the URL of the log. A foreign peer counts as not reached, so that its shards pass to others. Instances of the build before are refused too: during an upgrade each side appends its claims itself.

--- a/internal/commands/configpublish.go
+++ b/internal/commands/configpublish.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	node := kcpeer.NewNode(kcpeer.Options{Clock: kcclock.System{}, Metrics: kcmetric.New(), TLS: peerTLS})
+	node := kcpeer.NewNode(kcpeer.Options{Clock: kcclock.System{}, Metrics: kcmetric.New(), TLS: peerTLS, Deployment: set.Platform.DeploymentID()})
 	return printInForce(e, kcconfig.AwaitInForce(ctx, kcclock.System{}, node, members, offset))
 }
 
--- a/internal/kcinstance/instance.go
+++ b/internal/kcinstance/instance.go
@@ -128,7 +128,7 @@
 		Seed: xxhash.Sum64String(set.Instance.ID), PeriodMs: kcclock.Second, TimeoutMs: kcclock.Second,
 		Handlers: withDigestParts(
 			withBillHandler(withClaimHandler(withConfigHandler(opts.PeerHandlers, i.configReader), i.claimer), i.billHolder),
-			i.routingSync), TLS: peerTLS,
+			i.routingSync), TLS: peerTLS, Deployment: set.Platform.DeploymentID(), Log: opts.Log,
 	})
 	if set.Instance.Peer != "" {
 		i.claimer.SetPeers(i.node)
--- a/internal/kcpeer/count.go
+++ b/internal/kcpeer/count.go
@@ -1,6 +1,7 @@
 package kcpeer
 
 import (
+	"errors"
 	"io"
 	"net/http"
 )
@@ -57,11 +58,18 @@
 	if err := c.node.gzipper.compressRequest(req); err != nil {
 		return nil, err
 	}
+	req.Header.Set(deploymentHeader, c.node.opts.Deployment)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.node.countMessage(rpcName(req.URL.Path), req.ContentLength, 0)
 		return nil, err
 	}
+	if other := resp.Header.Get(deploymentHeader); other != c.node.opts.Deployment {
+		// An answer of a foreign instance is as good as none: the peer of the list
+		// was not reached.
+		c.node.recordForeign(req.URL.Host, other)
+		return nil, errors.Join(errForeign, resp.Body.Close())
+	}
 	c.gotResponse = true
 	counted := &reportingBody{countingBody: countingBody{ReadCloser: resp.Body}, report: func(in int64) {
 		c.node.countMessage(rpcName(req.URL.Path), req.ContentLength, in)
--- a/internal/kcpeer/node.go
+++ b/internal/kcpeer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -45,6 +46,11 @@
 	Handlers  Handlers
 	// TLS is used for calls to peers; nil means plain TCP.
 	TLS *tls.Config
+	// Deployment identifies the deployment and its log. Requests and responses of
+	// instances with another one are refused.
+	Deployment string
+	// Log receives a line about foreign peers; nil discards it.
+	Log *slog.Logger
 }
 
 // Node exchanges messages between this instance and its peers and tracks which
@@ -60,6 +66,9 @@
 	cooldownEnds   map[string]kcclock.Millis // by peer id
 	lastCallFailed kcset.Set[string]         // peers whose last call failed
 	cachedLive     *liveSet                  // nil if it must be computed again
+	// foreignLoggedAt holds the time of the last log line about a foreign peer, by
+	// address. It holds at most maxForeignLogged entries.
+	foreignLoggedAt map[string]kcclock.Millis
 }
 
 // NewNode returns a node. It starts no exchanges before Run is called.
@@ -69,11 +78,15 @@
 		MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, TLSClientConfig: opts.TLS,
 		DialContext: dial,
 	}
+	if opts.Log == nil {
+		opts.Log = slog.New(slog.DiscardHandler)
+	}
 	unpooledTransport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: opts.TLS, DialContext: dial}
 	return &Node{
 		opts: opts, pooledClient: &http.Client{Transport: pooledTransport}, unpooledClient: &http.Client{Transport: unpooledTransport},
 		rng:          rand.New(rand.NewPCG(opts.Seed, 1)),
 		cooldownEnds: make(map[string]kcclock.Millis), lastCallFailed: kcset.New[string](),
+		foreignLoggedAt: make(map[string]kcclock.Millis),
 	}
 }
 
--- a/internal/kcpeer/server.go
+++ b/internal/kcpeer/server.go
@@ -99,10 +99,17 @@
 }
 
 // Handler returns the HTTP handler of the peer listener. It decompresses
-// requests, compresses responses and counts both.
+// requests, compresses responses and counts both. It refuses requests of
+// another deployment.
 func (n *Node) Handler() http.Handler {
 	next := NewPeerServer(server{n})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(deploymentHeader, n.opts.Deployment)
+		if other := r.Header.Get(deploymentHeader); other != n.opts.Deployment {
+			n.recordForeign(r.RemoteAddr, other)
+			http.Error(w, errForeign.Error(), http.StatusForbidden)
+			return
+		}
 		rpc := rpcName(r.URL.Path)
 		body := &countingBody{ReadCloser: r.Body}
 		counted := &countingWriter{ResponseWriter: w}
--- a/internal/kcsettings/settings.go
+++ b/internal/kcsettings/settings.go
@@ -4,6 +4,11 @@
 package kcsettings
 
 import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcuprail/kingcuprail/internal/kcentry"
 	"github.com/kingcuprail/kingcuprail/internal/kcrules"
 	"github.com/kingcuprail/kingcuprail/internal/kcsession"
@@ -44,12 +49,23 @@
 
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
+	// Deployment is the name of the deployment. All its instances must state the
+	// same name and the same URL of the log, because messages between instances
+	// that differ in them are refused.
+	Deployment string `json:"deployment,omitempty"`
+
 	Log     string `json:"log"`
 	List    string `json:"list"`
 	Rater   string `json:"rater,omitempty"`
 	Weights string `json:"weights,omitempty"`
 }
 
+// DeploymentID identifies the deployment and its log in messages between
+// instances.
+func (p Platform) DeploymentID() string {
+	return strconv.FormatUint(xxhash.Sum64String(p.Deployment+"\n"+strings.TrimSuffix(p.Log, "/")), 16)
+}
+
 // Timing holds periods and bounds in milliseconds.
 type Timing struct {
 	ListPollIntervalMs  kcclock.Millis `json:"listPollMs"`
