kcedge, kcfeed: Refuse messages and reads of another deployment

Cause: instances on the platform took messages and records from whatever listened at the address of a listed peer. The platform assigns addresses again. An instance that had just read a list with a peer that was gone took over the configuration, with its keys, of the deployment at that address.

Datagrams, reads and evidence carry a hash of the address of the store; those of another store are refused and counted (peers.foreign), logged once in 10 s.

TestSlowPeerAnswerIsNotAborted guarded nothing: the rest of the answer arrived before the timeout closed the connection.

--- a/internal/commands/configpublish.go
+++ b/internal/commands/configpublish.go
@@ -163,7 +163,13 @@
 	if err != nil {
 		return err
 	}
-	node := kcpeer.NewNode(kcpeer.Options{Clock: kcclock.System{}, Metrics: kcmetric.New(), TLS: peerTLS, Deployment: set.Platform.DeploymentID()})
+	deployment := set.Platform.DeploymentID()
+	if c.Demo != "" {
+		deployment = kcsettings.Platform{}.DeploymentID() // the log of a demo is in its process
+	}
+	node := kcpeer.NewNode(kcpeer.Options{
+		Clock: kcclock.System{}, Metrics: kcmetric.New(), TLS: peerTLS, Deployment: deployment,
+	})
 	return printInForce(e, kcconfig.AwaitInForce(ctx, kcclock.System{}, node, members, offset))
 }
 
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -79,6 +79,7 @@
 // instances, and chooses the instance that reads the store for this one.
 type peers struct {
 	edge    *Edge
+	storeID storeID
 	udpConn *net.UDPConn
 	// listener accepts reads and evidence of peers in the same availability zone.
 	listener net.Listener
@@ -95,6 +96,8 @@
 	// the list was read.
 	ownEntry peerEntry
 	listRead bool
+	// foreignLoggedAt is the time of the last log line about a foreign instance.
+	foreignLoggedAt kcclock.Millis
 	// storeFailedAt is the time of the last failed call of the store, 0 after a
 	// successful one.
 	storeFailedAt kcclock.Millis
@@ -102,7 +105,7 @@
 
 func newPeers(e *Edge) *peers {
 	return &peers{
-		edge: e, sameRegion: make(map[string]peerEntry), otherRegions: make(map[string]peerEntry),
+		edge: e, storeID: newStoreID(e.Deployment.StoreAddr), sameRegion: make(map[string]peerEntry), otherRegions: make(map[string]peerEntry),
 		heardAt: make(map[string]kcclock.Millis),
 	}
 }
@@ -219,7 +222,7 @@
 	ctx, cancel := kcclock.WithTimeout(ctx, kcclock.Boot{}, evidenceCallTimeoutMs)
 	defer cancel()
 	resp, err := p.edge.storePool.Do(ctx, addr, &kcconn.Request{
-		Method: http.MethodPost, Target: evidencePath, Host: addr, Header: http.Header{}, Body: raw,
+		Method: http.MethodPost, Target: evidencePath + "?" + kcfeed.StoreParam + "=" + p.storeID.String(), Host: addr, Header: http.Header{}, Body: raw,
 	})
 	if err != nil {
 		p.edge.Log.Warn("cannot forward evidence", "peer", addr, "error", err)
@@ -231,6 +234,11 @@
 
 // serveEvidence accepts the evidence of a peer.
 func (p *peers) serveEvidence(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get(kcfeed.StoreParam) != p.storeID.String() {
+		p.recordForeign(r.RemoteAddr)
+		http.Error(w, kcfeed.ErrForeign.Error(), http.StatusForbidden)
+		return
+	}
 	var reports []kcgate.EvidenceReport
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEvidenceBytes)).Decode(&reports); err != nil {
 		p.edge.Log.Warn("cannot decode evidence; ignoring it", "peer", r.RemoteAddr, "error", err)
@@ -438,6 +446,7 @@
 }
 
 func (p *peers) send(raw []byte, to []netip.AddrPort) {
+	raw = append(p.storeID.prefix(), raw...)
 	for _, addr := range to {
 		if _, err := p.udpConn.WriteToUDPAddrPort(raw, addr); err != nil {
 			p.edge.metrics.Count("peers.sendFailed")
@@ -453,7 +462,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = p.udpConn.Close() })
 	defer stop()
-	buf := make([]byte, kcload.MaxMessageBytes)
+	buf := make([]byte, storeIDBytes+kcload.MaxMessageBytes)
 	for {
 		n, from, err := p.udpConn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
@@ -471,6 +480,11 @@
 
 // handleMessage decodes and applies one message of a peer.
 func (p *peers) handleMessage(raw []byte, from netip.AddrPort) error {
+	raw, own := p.storeID.cutPrefix(raw)
+	if !own {
+		p.recordForeign(from.Addr().String())
+		return nil
+	}
 	if kcload.IsSessionQuery(raw) {
 		order, err := kcload.DecodeSessionQuery(raw)
 		if err == nil {
--- a/internal/kcfeed/feed_test.go
+++ b/internal/kcfeed/feed_test.go
@@ -486,11 +486,17 @@
 	m.add("a", "store")
 	const answer = `{"ageMs":0,"records":[{"key":"a","value":"cGVlcg==","offset":0}]}`
 	peer := kcplatformtest.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, answer[:20])
+		_, _ = io.WriteString(w, answer[:11])
 		_ = http.NewResponseController(w).Flush()
 		clock.AwaitWaiters(2) // the timeouts of the headers and of the body
 		clock.Advance(400)
-		_, _ = io.WriteString(w, answer[20:])
+		// A timeout of the whole answer closes the connection from other
+		// goroutines, which run while these blanks arrive.
+		for range 200 {
+			_, _ = io.WriteString(w, " ")
+			_ = http.NewResponseController(w).Flush()
+		}
+		_, _ = io.WriteString(w, answer[11:])
 	}))
 	pool := kcconn.NewPool(kcconn.Options{
 		Clock: clock, DialTimeoutMs: 1000, UnackedTimeoutMs: 3000, IdleTimeoutMs: 4000, MaxIdlePerAddr: 1,
--- a/internal/kcfeed/relay.go
+++ b/internal/kcfeed/relay.go
@@ -28,6 +28,8 @@
 	maxPageBytes = 8 << 20
 	// FeedPath is the URL path of the relay. The topic follows it.
 	FeedPath = "/feed/"
+	// StoreParam is the query parameter with the StoreID of the peer that asks.
+	StoreParam = "store"
 	// snapshotOnly is the offset with which peers that have no state yet ask for
 	// a snapshot.
 	snapshotOnly int64 = -1
@@ -40,6 +42,10 @@
 	sharedSnapshotTimeoutMs = 1200 * kcclock.Millisecond
 )
 
+// ErrForeign means that a peer reads another store. The address of an instance
+// may belong to another deployment after the instance is gone.
+var ErrForeign = errs.New("the instance belongs to another deployment")
+
 // recentRecords keeps the newest records of a topic for peers.
 type recentRecords struct {
 	mu          sync.Mutex
@@ -96,7 +102,9 @@
 
 // wirePage is the answer to a read of a peer.
 type wirePage struct {
-	AgeMs kcclock.Millis `json:"ageMs"`
+	// StoreID identifies the store that the records come from.
+	StoreID string         `json:"store,omitempty"`
+	AgeMs   kcclock.Millis `json:"ageMs"`
 	// Snapshot and NextOffset are set if Records holds the newest record of every
 	// key.
 	Snapshot   bool     `json:"whole,omitempty"`
@@ -159,6 +167,11 @@
 	Log   *slog.Logger
 	// Store is read for peers that need a snapshot.
 	Store Reader
+	// StoreID identifies the store. Reads of peers with another store are refused.
+	StoreID string
+	// OnForeign, if set, is called with the address of a peer whose read was
+	// refused.
+	OnForeign func(addr string)
 	// Followers holds the followers by topic.
 	Followers map[string]*Follower
 
@@ -235,6 +248,7 @@
 
 func (r *Relay) writePage(w http.ResponseWriter, req *http.Request, page wirePage) {
 	w.Header().Set("Content-Type", "application/json")
+	page.StoreID = r.StoreID
 	out := io.Writer(w)
 	if req.Header.Get("Accept-Encoding") == gzipEncoding && page.valueBytes() >= minCompressBytes {
 		page.moveToTexts()
@@ -262,6 +276,13 @@
 		http.Error(w, "want "+FeedPath+"TOPIC?from=OFFSET&waitMs=N", http.StatusBadRequest)
 		return
 	}
+	if q.Get(StoreParam) != r.StoreID {
+		if r.OnForeign != nil {
+			r.OnForeign(req.RemoteAddr)
+		}
+		http.Error(w, ErrForeign.Error(), http.StatusForbidden)
+		return
+	}
 	r.dropStaleSnapshot(topic)
 	if from == snapshotOnly {
 		r.serveSnapshot(w, req, topic)
@@ -293,6 +314,9 @@
 	Pool  *kcconn.Pool
 	Clock kcclock.Clock
 	Log   *slog.Logger
+	// StoreID identifies the store. Answers of peers with another store are not
+	// accepted.
+	StoreID string
 	// PeerAddr returns the address of the instance that reads for this one, and
 	// false if this one has to read for itself.
 	PeerAddr func() (string, bool)
@@ -466,7 +490,9 @@
 	head, stop := kcclock.WithTimeout(ctx, p.Clock, wait+limit)
 	defer stop()
 	stopHeadCancel := context.AfterFunc(head, cancel)
-	query := url.Values{"from": {strconv.FormatInt(from, 10)}, "waitMs": {strconv.FormatInt(int64(wait), 10)}}
+	query := url.Values{
+		"from": {strconv.FormatInt(from, 10)}, "waitMs": {strconv.FormatInt(int64(wait), 10)}, StoreParam: {p.StoreID},
+	}
 	resp, err := p.Pool.Do(ctx, addr, &kcconn.Request{
 		Method: http.MethodGet, Target: FeedPath + topic + "?" + query.Encode(), Host: addr,
 		Header: http.Header{"Accept-Encoding": {gzipEncoding}},
@@ -495,6 +521,9 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return page, err
 	}
+	if w.StoreID != p.StoreID {
+		return page, ErrForeign
+	}
 	w.moveFromTexts()
 	// A large answer takes time on a slow link, which adds to its age.
 	page.AgeMs = max(w.AgeMs, 0) + p.Clock.Now() - began
--- a/testscripts/scripts_test.go
+++ b/testscripts/scripts_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -38,6 +39,7 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start": startCommand, "terminate": terminateCommand, "http": httpCommand,
+			"reserve": reserveCommand,
 		},
 	})
 }
@@ -113,6 +115,20 @@
 	}
 }
 
+// reserveCommand implements "reserve VARIABLE". It sets the variable to an address
+// that refuses connections and that no other program can listen at until the end
+// of the script.
+func reserveCommand(ts *testscript.TestScript, _ bool, args []string) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	ts.Check(err)
+	ts.Defer(func() { _ = syscall.Close(fd) })
+	// The socket is bound, but it does not listen.
+	ts.Check(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	addr, err := syscall.Getsockname(fd)
+	ts.Check(err)
+	ts.Setenv(args[0], fmt.Sprintf("127.0.0.1:%d", addr.(*syscall.SockaddrInet4).Port))
+}
+
 // httpCommand implements "http METHOD URL KEY [BODY [IDEMPOTENCY-KEY]]". It sends
 // the request with KEY as its API key and prints the body of the response. It
 // fails unless the status is 2xx, or not 2xx if negated.
