kcstandin: State when an answer was created

Cause: the engines of the stand-in left created at 0, and the router passes it on as it is. Callers that use the field for billing or logs saw 1970. TestOpenAIClient: created at 0 before, within the test's seconds now.

--- a/internal/kcinstance/openai_test.go
+++ b/internal/kcinstance/openai_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
@@ -27,6 +28,7 @@
 func TestOpenAIClient(t *testing.T) {
 	i := startInstance(t, nil)
 	c := newOpenAIClient(i, kcsettings.DemoAPIKey)
+	began := time.Now().Unix()
 	t.Run("list", func(t *testing.T) {
 		page, err := c.Models.List(t.Context())
 		if err != nil || len(page.Data) != 2 || page.Data[1].ID != "small@1" {
@@ -44,6 +46,9 @@
 		if choice.Message.Content != "You said: good morning" || choice.FinishReason != "stop" || got.Usage.CompletionTokens != 4 {
 			t.Errorf("answer %+v", got)
 		}
+		if now := time.Now().Unix(); got.Created < began || got.Created > now {
+			t.Errorf("created at %d, want a time from %d to %d", got.Created, began, now)
+		}
 	})
 	t.Run("stream", func(t *testing.T) {
 		p := chatParams("auto", "good morning")
--- a/internal/kcstandin/engine.go
+++ b/internal/kcstandin/engine.go
@@ -307,14 +307,17 @@
 	if !e.sleep(ctx, e.opts.PromptMillisPer1000*kcclock.Millis(uncached)/1000) {
 		return
 	}
+	chunk := kcchat.Chunk{
+		ID: id, Object: "chat.completion.chunk", Created: int64(e.opts.Clock.Now() / kcclock.Second), Model: req.Model,
+	}
 	words := answerWords(req)
 	for i, word := range words {
 		if !e.sleep(ctx, e.opts.TokenMillis+f.ExtraTokenMs) {
 			return
 		}
-		gen.appendEvent(tokenChunk(id, req.Model, word, i == len(words)-1), false)
+		gen.appendEvent(tokenChunk(chunk, word, i == len(words)-1), false)
 	}
-	gen.appendEvent(usageChunk(id, req, len(words)), true)
+	gen.appendEvent(usageChunk(chunk, req, len(words)), true)
 }
 
 // sleep waits d milliseconds. It returns false if ctx ended first.
@@ -345,8 +348,7 @@
 	return words
 }
 
-func tokenChunk(id, model, word string, last bool) []byte {
-	c := kcchat.Chunk{ID: id, Object: "chat.completion.chunk", Model: model}
+func tokenChunk(c kcchat.Chunk, word string, last bool) []byte {
 	choice := kcchat.ChunkChoice{Delta: kcchat.Delta{Role: "assistant", Content: word}}
 	if last {
 		reason := "stop"
@@ -357,9 +359,9 @@
 	return b
 }
 
-func usageChunk(id string, req *kcchat.Request, completionTokens int) []byte {
+func usageChunk(c kcchat.Chunk, req *kcchat.Request, completionTokens int) []byte {
 	prompt := req.EstimatePromptTokens()
-	c := kcchat.Chunk{ID: id, Object: "chat.completion.chunk", Model: req.Model, Choices: []kcchat.ChunkChoice{}}
+	c.Choices = []kcchat.ChunkChoice{}
 	c.Usage = &kcchat.Usage{PromptTokens: prompt, CompletionTokens: completionTokens, TotalTokens: prompt + completionTokens}
 	b, _ := json.Marshal(c)
 	return b
