kcgate, kcedge: Compare a sample of the upstreams where reports are old

Cause: each instance sent its load to all peers of its zone each 25 ms and to those of its region each 200 ms, which grows with the square of the instances.

An instance estimates how many picks of its peers it has not heard of: its own rate times the ages of their reports. Beyond nine it compares a share of the upstreams, from each distance at least two, so that most requests stay near. With this, reports may be sent less often: at most 400 a second to the zone and 165 to the region. Small deployments keep their intervals and compare all upstreams.

LoadShares walked a map, so that an unchanged load was encoded in another order and sent again (TestLoadSharesKeepTheirOrder). TestSampleAvoidsHerd plays the load against all upstreams and random ones; TestReportsDoNotGrowWithInstances.

--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -22,12 +22,21 @@
 )
 
 const (
-	// zoneReportIntervalMs is the time between load reports to peers in the same
-	// availability zone, regionReportIntervalMs that to peers in other
-	// availability zones of the region. Other regions get no load reports:
+	// minZoneReportIntervalMs is the shortest time between load reports to peers
+	// in the same availability zone, minRegionReportIntervalMs that to peers in
+	// other availability zones of the region. Other regions get no load reports:
 	// traffic between regions is expensive, and their upstreams are used last.
-	zoneReportIntervalMs   = 25 * kcclock.Millisecond
-	regionReportIntervalMs = 200 * kcclock.Millisecond
+	minZoneReportIntervalMs   = 25 * kcclock.Millisecond
+	minRegionReportIntervalMs = 200 * kcclock.Millisecond
+	// maxZoneReportsPerSecond and maxRegionReportsPerSecond bound the reports that
+	// an instance sends to all peers together: those of 10 and of 33 peers at the
+	// shortest intervals, the size of the grown deployments. Beyond that the
+	// intervals grow, and the placement compares fewer upstreams.
+	maxZoneReportsPerSecond   = 400
+	maxRegionReportsPerSecond = 165
+	// maxReportIntervalMs leaves a report time to be lost once before the one
+	// before it expires.
+	maxReportIntervalMs = 800 * kcclock.Millisecond
 	// unchangedReportIntervalMs is the time after which an unchanged state is
 	// sent again. It is well below the time for which a report is valid.
 	unchangedReportIntervalMs = 500 * kcclock.Millisecond
@@ -345,7 +354,7 @@
 		if known {
 			break
 		}
-		_ = kcclock.Wait(ctx, clock, zoneReportIntervalMs)
+		_ = kcclock.Wait(ctx, clock, minZoneReportIntervalMs)
 	}
 	for ctx.Err() == nil && !p.writeEntry(ctx, raw) {
 		_ = kcclock.Wait(ctx, clock, storeFailureBackoffMs)
@@ -421,9 +430,13 @@
 	seq := uint64(time.Now().UnixMilli()) << 16
 	lastState, lastSentAt, regionSentAt := "", kcclock.Millis(0), kcclock.Millis(0)
 	var sessions sessionReporter
-	for kcclock.Wait(ctx, clock, zoneReportIntervalMs) == nil {
+	for kcclock.Wait(ctx, clock, minZoneReportIntervalMs) == nil {
 		now := clock.Now()
 		sessions.report(p, now)
+		near, far := p.regionAddresses()
+		if now-lastSentAt < reportInterval(len(near), maxZoneReportsPerSecond, minZoneReportIntervalMs) {
+			continue
+		}
 		m := kcload.Message{
 			Instance: p.edge.Deployment.Instance, CanReadStore: p.canReadStore(),
 			Loads: p.edge.gate.Upstreams.LoadShares(),
@@ -436,8 +449,7 @@
 		seq++
 		m.Seq = seq
 		raw := kcload.Encode(m)
-		near, far := p.regionAddresses()
-		if now-regionSentAt >= regionReportIntervalMs {
+		if now-regionSentAt >= reportInterval(len(far), maxRegionReportsPerSecond, minRegionReportIntervalMs) {
 			regionSentAt = now
 			near = append(near, far...)
 		}
@@ -445,6 +457,12 @@
 	}
 }
 
+// reportInterval returns the time between load reports to a number of peers, so
+// that an instance sends at most perSecond of them to all together.
+func reportInterval(peers, perSecond int, shortest kcclock.Millis) kcclock.Millis {
+	return min(max(kcclock.Millis(peers)*kcclock.Second/kcclock.Millis(perSecond), shortest), maxReportIntervalMs)
+}
+
 func (p *peers) send(raw []byte, to []netip.AddrPort) {
 	raw = append(p.storeID.prefix(), raw...)
 	for _, addr := range to {
--- a/internal/kcedge/peers_test.go
+++ b/internal/kcedge/peers_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
 func newPeerEntry(zone, addr string) peerEntry {
@@ -79,3 +80,17 @@
 		}
 	}
 }
+
+// Guards against load reports whose number grows with the number of instances:
+// each sends to each of the others.
+func TestReportsDoNotGrowWithInstances(t *testing.T) {
+	for _, tc := range []struct {
+		peers int
+		want  kcclock.Millis
+	}{{0, 25}, {2, 25}, {10, 25}, {49, 122}, {63, 157}, {1000, 800}} {
+		got := reportInterval(tc.peers, maxZoneReportsPerSecond, minZoneReportIntervalMs)
+		if got != tc.want {
+			t.Errorf("%d peers: a report each %d ms, want %d", tc.peers, got, tc.want)
+		}
+	}
+}
--- a/internal/kcgate/placement.go
+++ b/internal/kcgate/placement.go
@@ -1,6 +1,9 @@
 package kcgate
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
@@ -19,8 +22,9 @@
 	// some round trips and the paid traffic.
 	crossZoneCostMs   = 8
 	crossRegionCostMs = 60
-	// peerLoadTTLMs is how long the load report of another instance counts.
-	peerLoadTTLMs = 1200 * kcclock.Millisecond
+	// peerLoadTTLMs is how long the load report of another instance counts: twice
+	// the longest time between two reports.
+	peerLoadTTLMs = 1600 * kcclock.Millisecond
 	// prefixTTLMs is how long an engine is expected to keep an unused part of a
 	// prompt in its prefix cache.
 	prefixTTLMs = 10 * kcclock.Second
@@ -42,18 +46,30 @@
 	affinity uint64
 }
 
-// distanceCostMs returns the placement cost of the distance to an upstream.
-func (l *Upstreams) distanceCostMs(u *upstream) float64 {
+// distance is how far an upstream is away.
+type distance int
+
+const (
+	inZone distance = iota
+	inRegion
+	inOtherRegion
+	distances
+)
+
+func (l *Upstreams) distance(u *upstream) distance {
 	switch {
 	case u.Zone == l.zone:
-		return 0
+		return inZone
 	case u.region == l.region:
-		return crossZoneCostMs
+		return inRegion
 	default:
-		return crossRegionCostMs
+		return inOtherRegion
 	}
 }
 
+// distanceCostMs holds the placement cost of each distance.
+var distanceCostMs = [distances]float64{inRegion: crossZoneCostMs, inOtherRegion: crossRegionCostMs}
+
 // prefillMs returns the expected prefill time of a prompt at an upstream. At the
 // prefix home, the shared parts are expected to be cached. Elsewhere, only the
 // parts that this instance has sent there are.
@@ -122,6 +138,7 @@
 		return
 	}
 	l.addPeerLoad(p, -1)
+	l.peerReportTimes += now - p.at
 	p.seq, p.at, p.shares = m.Seq, now, m.Loads
 	l.addPeerLoad(p, 1)
 }
@@ -140,12 +157,14 @@
 	for name, p := range l.peerLoads {
 		if now-p.at > peerLoadTTLMs {
 			l.addPeerLoad(p, -1)
+			l.peerReportTimes -= p.at
 			delete(l.peerLoads, name)
 		}
 	}
 }
 
 // LoadShares returns the load of this instance on each upstream, for its peers.
+// An unchanged load is returned in the same order, so that it is not sent again.
 func (l *Upstreams) LoadShares() []kcload.UpstreamLoad {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -155,5 +174,6 @@
 			out = append(out, kcload.UpstreamLoad{Upstream: u.ID, PendingWorkMs: int(u.pendingWorkMs), RunningRequests: u.inFlight})
 		}
 	}
+	slices.SortFunc(out, func(a, b kcload.UpstreamLoad) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	return out
 }
--- a/internal/kcgate/placement_test.go
+++ b/internal/kcgate/placement_test.go
@@ -1,9 +1,12 @@
 package kcgate
 
 import (
+	"bytes"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
@@ -11,17 +14,34 @@
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-// The load of a busy hour: several instances send prompts with a prefill time of
-// one to several thousand milliseconds to engines that prefill one prompt at a
-// time.
+// prefillLoad is a load of prompts with a prefill time of one to several thousand
+// milliseconds, which several instances send to engines that prefill one prompt
+// at a time.
+type prefillLoad struct {
+	instances, engines, zones int
+	requestsPerSecond         float64
+	durationMs                kcclock.Millis
+	// zoneReportMs and regionReportMs are the times between the load reports of an
+	// instance to peers in its availability zone and in others; 0 means that there
+	// are none.
+	zoneReportMs, regionReportMs kcclock.Millis
+}
+
+// busyHour is the load of a small deployment, busyRegion that of a region of a
+// deployment with hundreds of instances.
+var (
+	busyHour = prefillLoad{
+		instances: 8, engines: 12, zones: 1, requestsPerSecond: 90, durationMs: 40_000, zoneReportMs: 25, regionReportMs: 25,
+	}
+	busyRegion = prefillLoad{
+		instances: 150, engines: 80, zones: 3, requestsPerSecond: 840, durationMs: 6000, zoneReportMs: 125, regionReportMs: 600,
+	}
+)
+
 const (
-	loadInstances         = 8
-	loadEngines           = 12
-	loadRequestsPerSecond = 90.0
-	loadDurationMs        = 40_000 * kcclock.Millisecond
-	smallModelMsPerToken  = 0.003
-	largeModelMsPerToken  = 0.03
-	maxStreamMs           = 5000
+	smallModelMsPerToken = 0.003
+	largeModelMsPerToken = 0.03
+	maxStreamMs          = 5000
 )
 
 // prefillJob is a prompt at an engine.
@@ -42,7 +62,17 @@
 // instance.
 func placeByWork(_ *rand.Rand, own *Upstreams, w pickCriteria, _ []int) (*pickedUpstream, int) {
 	c, _ := own.pick(w)
-	return c, int(c.ID[1] - 'a')
+	i, err := strconv.Atoi(c.ID[1:])
+	if err != nil {
+		panic(err) // the test has given it another name
+	}
+	return c, i
+}
+
+// placeByAllWork compares all engines, however old the reports of peers are.
+func placeByAllWork(rnd *rand.Rand, own *Upstreams, w pickCriteria, queued []int) (*pickedUpstream, int) {
+	clear(own.pickRates)
+	return placeByWork(rnd, own, w, queued)
 }
 
 // placeRandomly and placeByCount are the baselines: a random engine, and the
@@ -57,26 +87,32 @@
 }
 
 // simulatePrefill returns the sorted waiting times of prompts.
-func simulatePrefill(seed uint64, place placementFunc, shareLoads bool) []float64 {
+func simulatePrefill(seed uint64, load prefillLoad, place placementFunc) []float64 {
 	rnd := rand.New(rand.NewPCG(seed, 7))
 	clock := kcclock.NewManual(1_000_000)
+	zones := make(map[string]string)
+	for z := range load.zones {
+		zones[fmt.Sprint("z", z)] = "r"
+	}
+	var ups []kctable.Upstream
+	for i := range load.engines {
+		ups = append(ups, kctable.Upstream{
+			ID: fmt.Sprint("e", i), Service: "s", Zone: fmt.Sprint("z", i%load.zones), Version: "v", Slots: 64,
+		})
+	}
 	var instances []*Upstreams
-	for range loadInstances {
-		l := NewUpstreams(clock, "z", map[string]string{"z": "r"})
-		var ups []kctable.Upstream
-		for i := range loadEngines {
-			ups = append(ups, kctable.Upstream{ID: "e" + string(rune('a'+i)), Service: "s", Zone: "z", Version: "v", Slots: 64})
-		}
+	for i := range load.instances {
+		l := NewUpstreams(clock, fmt.Sprint("z", i%load.zones), zones)
 		l.shuffle = rnd.Shuffle
 		l.Replace(ups, false)
 		instances = append(instances, l)
 	}
-	queues := make([][]prefillJob, loadEngines)
-	left := make([]float64, loadEngines)
-	queued := make([]int, loadEngines)
+	queues := make([][]prefillJob, load.engines)
+	left := make([]float64, load.engines)
+	queued := make([]int, load.engines)
 	var waits []float64
 	var streams []prefillJob
-	for t := kcclock.Millis(0); t < loadDurationMs; t++ {
+	for t := kcclock.Millis(0); t < load.durationMs; t++ {
 		clock.Advance(1)
 		for i := range queues {
 			for left[i]--; left[i] <= 0 && len(queues[i]) > 0; {
@@ -93,10 +129,8 @@
 			left[i] = max(left[i], 0)
 		}
 		streams = endStreams(streams, t)
-		if shareLoads && t%25 == 0 {
-			exchangeLoads(instances, t)
-		}
-		if rnd.Float64() >= loadRequestsPerSecond/1000 {
+		load.exchangeLoads(instances, t)
+		if rnd.Float64() >= load.requestsPerSecond/1000 {
 			continue
 		}
 		tokens := min(math.Exp(rnd.NormFloat64()*1.2+7.6), 54_000)
@@ -104,7 +138,7 @@
 		if rnd.Float64() < 0.4 {
 			perToken = largeModelMsPerToken
 		}
-		own := instances[rnd.IntN(loadInstances)]
+		own := instances[rnd.IntN(load.instances)]
 		w := pickCriteria{service: "s", allowsVersion: anyVersion, prompt: prompt{tokens: int(tokens), msPerToken: perToken}}
 		c, i := place(rnd, own, w, queued)
 		queues[i] = append(queues[i], prefillJob{arrived: t, prefillMs: tokens * perToken, picked: c, instance: own})
@@ -123,11 +157,18 @@
 	})
 }
 
-func exchangeLoads(instances []*Upstreams, now kcclock.Millis) {
+// exchangeLoads sends the load reports that are due. Instances do not report at
+// the same time.
+func (p prefillLoad) exchangeLoads(instances []*Upstreams, now kcclock.Millis) {
 	for i, from := range instances {
-		m := kcload.Message{Instance: string(rune('a' + i)), Seq: uint64(now) + 1, Loads: from.LoadShares()}
+		due := func(interval kcclock.Millis) bool { return interval > 0 && (now+7*kcclock.Millis(i))%interval == 0 }
+		toZone, toRegion := due(p.zoneReportMs), due(p.regionReportMs)
+		if !toZone && !toRegion {
+			continue
+		}
+		m := kcload.Message{Instance: fmt.Sprint(i), Seq: uint64(now) + 1, Loads: from.LoadShares()}
 		for k, to := range instances {
-			if k != i {
+			if k != i && (toRegion || from.zone == to.zone) {
 				to.SetPeerLoad(m)
 			}
 		}
@@ -143,10 +184,12 @@
 // peers.
 func TestPlacementUnderLoad(t *testing.T) {
 	for seed := range uint64(3) {
-		random := p90(simulatePrefill(seed, placeRandomly, false))
-		leastLoad := p90(simulatePrefill(seed, placeByCount, true))
-		ownWork := p90(simulatePrefill(seed, placeByWork, false))
-		allWork := p90(simulatePrefill(seed, placeByWork, true))
+		noReports := busyHour
+		noReports.zoneReportMs, noReports.regionReportMs = 0, 0
+		random := p90(simulatePrefill(seed, busyHour, placeRandomly))
+		leastLoad := p90(simulatePrefill(seed, busyHour, placeByCount))
+		ownWork := p90(simulatePrefill(seed, noReports, placeByWork))
+		allWork := p90(simulatePrefill(seed, busyHour, placeByWork))
 		t.Logf("seed %d: 90th percentile of the wait: random %.0f ms, least load %.0f, own work %.0f, all work %.0f",
 			seed, random, leastLoad, ownWork, allWork)
 		if allWork > random/2 {
@@ -160,3 +203,38 @@
 		}
 	}
 }
+
+// Guards against a herd: at a region of 150 instances, all of them choose the
+// engine that looks least busy in reports that are older than the requests of the
+// others. The 90th percentile of the wait must be at most two thirds of that when
+// all engines are compared, and of that with random placement.
+func TestSampleAvoidsHerd(t *testing.T) {
+	for seed := range uint64(2) {
+		random := p90(simulatePrefill(seed, busyRegion, placeRandomly))
+		herd := p90(simulatePrefill(seed, busyRegion, placeByAllWork))
+		sampled := p90(simulatePrefill(seed, busyRegion, placeByWork))
+		t.Logf("seed %d: 90th percentile of the wait: random %.0f ms, all engines %.0f, sample %.0f", seed, random, herd, sampled)
+		if sampled > herd*2/3 || sampled > random*2/3 {
+			t.Errorf("seed %d: waited %.0f ms, %.0f with all engines, %.0f with random ones", seed, sampled, herd, random)
+		}
+	}
+}
+
+// Guards against sending an unchanged load again, because it is encoded in
+// another order.
+func TestLoadSharesKeepTheirOrder(t *testing.T) {
+	clock := kcclock.NewManual(1_000_000)
+	l := NewUpstreams(clock, "z", map[string]string{"z": "r"})
+	for i := range 20 {
+		l.Upsert(kctable.Upstream{ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Version: "v", Slots: 4})
+	}
+	for range 30 {
+		l.pick(pickCriteria{service: "s", allowsVersion: anyVersion})
+	}
+	first := kcload.Encode(kcload.Message{Instance: "i", Loads: l.LoadShares()})
+	for range 20 {
+		if again := kcload.Encode(kcload.Message{Instance: "i", Loads: l.LoadShares()}); !bytes.Equal(first, again) {
+			t.Fatalf("one load is encoded in two ways:\n%q\n%q", first, again)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kcgate/sample.go
@@ -0,0 +1,89 @@
+package kcgate
+
+import (
+	"math"
+	"slices"
+
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+const (
+	// pickRateWindowMs is the window of the moving rate of picks: long enough to
+	// hold some picks of an instance among hundreds, and shorter than a burst.
+	pickRateWindowMs = 2000 * kcclock.Millisecond
+	// maxUnseenPicks is the number of picks of others that an instance may not
+	// know of while it compares all upstreams. With n times as many it compares
+	// one upstream in n. From simulations of 150 instances with 80 engines, where
+	// 4 to 18 gave about the same wait.
+	maxUnseenPicks = 9
+	// minSample is the number of upstreams of each distance that are compared at
+	// least: with two, the busier one is avoided.
+	minSample = 2
+)
+
+// pickRate is the exponentially weighted rate of picks for a service.
+type pickRate struct {
+	count float64
+	at    kcclock.Millis
+}
+
+func (r *pickRate) add(now kcclock.Millis) {
+	r.count, r.at = r.countAt(now)+1, now
+}
+
+func (r *pickRate) countAt(now kcclock.Millis) float64 {
+	return r.count * math.Exp(-float64(now-r.at)/float64(pickRateWindowMs))
+}
+
+// perMs returns the picks per millisecond.
+func (r *pickRate) perMs(now kcclock.Millis) float64 {
+	return r.countAt(now) / float64(pickRateWindowMs)
+}
+
+// unseenPicks estimates how many picks for a service the other instances have
+// made since their last reports, if each makes as many as this one.
+func (l *Upstreams) unseenPicks(service string, now kcclock.Millis) float64 {
+	r := l.pickRates[service]
+	if r == nil {
+		return 0
+	}
+	return r.perMs(now) * float64(l.peerReportAgeSum(now))
+}
+
+// peerReportAgeSum returns the sum of the ages of the reports of all peers.
+func (l *Upstreams) peerReportAgeSum(now kcclock.Millis) kcclock.Millis {
+	return kcclock.Millis(len(l.peerLoads))*now - l.peerReportTimes
+}
+
+func (l *Upstreams) countPick(service string, now kcclock.Millis) {
+	r := l.pickRates[service]
+	if r == nil {
+		r = &pickRate{}
+		l.pickRates[service] = r
+	}
+	r.add(now)
+}
+
+// sample returns the upstreams of a shuffled list that are compared for a
+// request. It answers loads of hundreds of instances: all of them would choose
+// the upstream that looks least busy in reports that are older than the picks
+// of the others, and queue there. The more picks are unseen, the fewer upstreams
+// each compares. Upstreams of each distance are sampled separately, so that most
+// requests stay near. keep stays in the list.
+func (l *Upstreams) sample(service string, list []*upstream, keep *upstream, now kcclock.Millis) []*upstream {
+	unseen := l.unseenPicks(service, now)
+	if unseen <= maxUnseenPicks {
+		return list
+	}
+	var left [distances]int
+	for _, u := range list {
+		left[l.distance(u)]++
+	}
+	for d, n := range left {
+		left[d] = max(int(math.Ceil(maxUnseenPicks/unseen*float64(n))), minSample)
+	}
+	return slices.DeleteFunc(list, func(u *upstream) bool {
+		left[l.distance(u)]--
+		return left[l.distance(u)] < 0 && u != keep
+	})
+}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -102,6 +102,10 @@
 	// loaded is closed once the list is read.
 	loaded    chan struct{}
 	peerLoads map[string]*peerLoad
+	// peerReportTimes is the sum of the times of the reports in peerLoads.
+	peerReportTimes kcclock.Millis
+	// pickRates holds the rates of picks by service.
+	pickRates map[string]*pickRate
 	prefixes  prefixCache
 	// shuffle is a source of randomness that tests replace.
 	shuffle func(n int, swap func(i, j int))
@@ -112,6 +116,7 @@
 	return &Upstreams{
 		clock: clock, zone: zone, region: regions[zone], regions: regions, byID: make(map[string]*upstream),
 		loaded: make(chan struct{}), shuffle: rand.Shuffle, peerLoads: make(map[string]*peerLoad),
+		pickRates: make(map[string]*pickRate),
 	}
 }
 
@@ -291,11 +296,13 @@
 	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.idHash, b.idHash) })
 	l.shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	home := l.prefixHome(w, list)
+	list = l.sample(w.service, list, home, now)
+	l.countPick(w.service, now)
 	workers := make([]kcroute.UpstreamWork, len(list))
 	for i, u := range list {
 		workers[i] = kcroute.UpstreamWork{
 			Slots: u.Slots, Running: u.estimatedLoad(now), QueuedMs: u.pendingWorkMs + u.peersWorkMs,
-			RequestMs: l.prefillMs(w.prompt, u, u == home), DistanceMs: l.distanceCostMs(u), SlotHoldMs: w.holdMs,
+			RequestMs: l.prefillMs(w.prompt, u, u == home), DistanceMs: distanceCostMs[l.distance(u)], SlotHoldMs: w.holdMs,
 			SlowdownPerRequestMs: perRequestCostMs,
 		}
 	}
