kcgate: Choose an upstream without walking all of them

Cause: each choice walked all upstreams of all services twice, sorted and shuffled them, and looked up each prompt part at each of them, and looked for expired reports of all peers.

Upstreams are indexed by service and distance until the list changes; a choice draws as many as it compares. Version counts are kept as long. The home of a prompt is always compared. upstreams.go is split: pick.go holds the choice.

--- /dev/null
+++ b/internal/kcgate/pick.go
@@ -0,0 +1,187 @@
+package kcgate
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcroute"
+	"github.com/kingcuprail/kingcuprail/internal/kcset"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// pickCriteria is what a request requires of an upstream.
+type pickCriteria struct {
+	service string
+	// allowsVersion reports whether a version may run the request.
+	allowsVersion func(string) bool
+	// upstreamShare returns the share of the upstreams of a version that get
+	// requests.
+	upstreamShare func(version string) float64
+	// tried holds the ids of upstreams to leave out.
+	tried kcset.Set[string]
+	// prompt describes the prompt of a request to an engine.
+	prompt prompt
+	// holdMs is roughly how long the request occupies a slot.
+	holdMs float64
+}
+
+// accepts reports whether an upstream may get the request.
+func (w *pickCriteria) accepts(u *upstream, now kcclock.Millis) bool {
+	return !u.Draining && w.allowsVersion(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now)
+}
+
+// pickedUpstream is an upstream that is in use for a request. It must be
+// released.
+type pickedUpstream struct {
+	u *upstream
+	kctable.Upstream
+	// loadAtPick is the estimated load when the upstream was picked. candidates
+	// is the number of upstreams that were eligible.
+	loadAtPick int
+	candidates int
+	// pendingWorkMs is the work that is counted until the response begins.
+	pendingWorkMs float64
+}
+
+// pick chooses an upstream and counts a request for it.
+func (l *Upstreams) pick(w pickCriteria) (*pickedUpstream, bool) {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expirePeerLoads(now)
+	candidates := l.candidates(&w, now)
+	home := l.prefixHome(&w, candidates, now)
+	list := l.sample(&w, candidates, home, now)
+	l.countPick(w.service, now)
+	workers := make([]kcroute.UpstreamWork, len(list))
+	for i, u := range list {
+		workers[i] = kcroute.UpstreamWork{
+			Slots: u.Slots, Running: u.estimatedLoad(now), QueuedMs: u.pendingWorkMs + u.peersWorkMs,
+			RequestMs: l.prefillMs(w.prompt, u, u == home), DistanceMs: distanceCostMs[l.distance(u)], SlotHoldMs: w.holdMs,
+			SlowdownPerRequestMs: perRequestCostMs,
+		}
+	}
+	addFailurePenalty(now, workers, list)
+	i := kcroute.ChooseFastestUpstream(workers)
+	if i < 0 {
+		return nil, false
+	}
+	u := list[i]
+	u.breaker.Allow(now, 0)
+	if u.inFlight == 0 {
+		u.lastActivityAt.Store(int64(now))
+	}
+	u.inFlight++
+	u.pendingWorkMs += workers[i].RequestMs
+	l.prefixes.add(w.prompt, u.ID, now)
+	return &pickedUpstream{
+		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), pendingWorkMs: workers[i].RequestMs,
+	}, true
+}
+
+// addFailurePenalty adds a cost to upstreams that fail more often than the
+// others, although they report themselves healthy.
+func addFailurePenalty(now kcclock.Millis, workers []kcroute.UpstreamWork, list []*upstream) {
+	meanShare := 0.0
+	for _, u := range list {
+		meanShare += u.decayedFailureShare(now) / float64(len(list))
+	}
+	for i, u := range list {
+		if excess := u.decayedFailureShare(now) - meanShare - failureTolerance; excess > 0 {
+			workers[i].DistanceMs += failurePenaltyMs * excess
+		}
+	}
+}
+
+// upstreamsByDistance holds upstreams of one service.
+type upstreamsByDistance [distances][]*upstream
+
+// index returns the upstreams of a service. It is made anew when the list has
+// changed, so that a pick does not walk thousands of upstreams.
+func (l *Upstreams) index(service string) upstreamsByDistance {
+	if l.byService == nil {
+		l.byService = make(map[string]upstreamsByDistance)
+		for _, u := range l.byID {
+			list := l.byService[u.Service]
+			list[l.distance(u)] = append(list[l.distance(u)], u)
+			l.byService[u.Service] = list
+		}
+		for _, lists := range l.byService {
+			for _, list := range lists {
+				slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.idHash, b.idHash) })
+			}
+		}
+	}
+	return l.byService[service]
+}
+
+// candidates returns the upstreams to choose from. It may hold some that do not
+// accept the request.
+func (l *Upstreams) candidates(w *pickCriteria, now kcclock.Millis) upstreamsByDistance {
+	all := l.index(w.service)
+	if w.upstreamShare == nil {
+		return all
+	}
+	share := 1.0
+	for _, list := range all {
+		if i := slices.IndexFunc(list, func(u *upstream) bool { return w.accepts(u, now) }); i >= 0 {
+			share = w.upstreamShare(list[i].Version)
+			break
+		}
+	}
+	if share >= 1 {
+		return all
+	}
+	var accepting []*upstream
+	for _, list := range all {
+		for _, u := range list {
+			if w.accepts(u, now) {
+				accepting = append(accepting, u)
+			}
+		}
+	}
+	var shared upstreamsByDistance
+	for _, u := range w.limitToShare(accepting, share) {
+		shared[l.distance(u)] = append(shared[l.distance(u)], u)
+	}
+	return shared
+}
+
+// prefixHome returns the upstream at which all instances of a region expect the
+// shared parts of a prompt to be cached. It is used unless it is busy. With one
+// such upstream per availability zone, the parts would be prefilled once in each
+// zone.
+func (l *Upstreams) prefixHome(w *pickCriteria, candidates upstreamsByDistance, now kcclock.Millis) *upstream {
+	if w.prompt.affinity == 0 {
+		return nil
+	}
+	var best *upstream
+	var maxHash uint64
+	for _, list := range candidates[:inOtherRegion] {
+		for _, u := range list {
+			h := kcset.Mix(w.prompt.affinity ^ u.idHash)
+			if (best == nil || h > maxHash) && w.accepts(u, now) {
+				best, maxHash = u, h
+			}
+		}
+	}
+	return best
+}
+
+// limitToShare returns the share of the upstreams that get requests. All
+// instances select the same ones, and some in each availability zone.
+func (w *pickCriteria) limitToShare(list []*upstream, share float64) []*upstream {
+	slices.SortFunc(list, func(a, b *upstream) int {
+		return cmp.Compare(kcset.RendezvousHash(a.ID, w.service), kcset.RendezvousHash(b.ID, w.service))
+	})
+	inZone, taken := make(map[string]int), make(map[string]int)
+	for _, u := range list {
+		inZone[u.Zone]++
+	}
+	return slices.DeleteFunc(list, func(u *upstream) bool {
+		taken[u.Zone]++
+		return float64(taken[u.Zone]) > math.Ceil(share*float64(inZone[u.Zone]))
+	})
+}
--- a/internal/kcgate/placement.go
+++ b/internal/kcgate/placement.go
@@ -25,6 +25,9 @@
 	// peerLoadTTLMs is how long the load report of another instance counts: twice
 	// the longest time between two reports.
 	peerLoadTTLMs = 1600 * kcclock.Millisecond
+	// peerLoadCheckMs is the time between checks for expired reports, a small part
+	// of the time for which they count.
+	peerLoadCheckMs = 50 * kcclock.Millisecond
 	// prefixTTLMs is how long an engine is expected to keep an unused part of a
 	// prompt in its prefix cache.
 	prefixTTLMs = 10 * kcclock.Second
@@ -154,6 +157,10 @@
 
 // expirePeerLoads removes the reports of instances that stopped sending them.
 func (l *Upstreams) expirePeerLoads(now kcclock.Millis) {
+	if now-l.peersCheckedAt < peerLoadCheckMs {
+		return
+	}
+	l.peersCheckedAt = now
 	for name, p := range l.peerLoads {
 		if now-p.at > peerLoadTTLMs {
 			l.addPeerLoad(p, -1)
--- a/internal/kcgate/placement_test.go
+++ b/internal/kcgate/placement_test.go
@@ -103,7 +103,7 @@
 	var instances []*Upstreams
 	for i := range load.instances {
 		l := NewUpstreams(clock, fmt.Sprint("z", i%load.zones), zones)
-		l.shuffle = rnd.Shuffle
+		l.intN = rnd.IntN
 		l.Replace(ups, false)
 		instances = append(instances, l)
 	}
--- a/internal/kcgate/sample.go
+++ b/internal/kcgate/sample.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -64,26 +63,35 @@
 	r.add(now)
 }
 
-// sample returns the upstreams of a shuffled list that are compared for a
-// request. It answers loads of hundreds of instances: all of them would choose
-// the upstream that looks least busy in reports that are older than the picks
-// of the others, and queue there. The more picks are unseen, the fewer upstreams
-// each compares. Upstreams of each distance are sampled separately, so that most
-// requests stay near. keep stays in the list.
-func (l *Upstreams) sample(service string, list []*upstream, keep *upstream, now kcclock.Millis) []*upstream {
-	unseen := l.unseenPicks(service, now)
-	if unseen <= maxUnseenPicks {
-		return list
+// sample returns the upstreams that are compared for a request, in random order,
+// so that instances do not all choose the same one of equal ones. It answers
+// loads of hundreds of instances: all of them would choose the upstream that
+// looks least busy in reports that are older than the picks of the others, and
+// queue there. The more picks are unseen, the fewer upstreams each compares.
+// Upstreams of each distance are sampled separately, so that most requests stay
+// near. home, if not nil, is always compared.
+func (l *Upstreams) sample(w *pickCriteria, candidates upstreamsByDistance, home *upstream, now kcclock.Millis) []*upstream {
+	share := 1.0
+	if unseen := l.unseenPicks(w.service, now); unseen > maxUnseenPicks {
+		share = maxUnseenPicks / unseen
 	}
-	var left [distances]int
-	for _, u := range list {
-		left[l.distance(u)]++
+	var sampled []*upstream
+	if home != nil {
+		sampled = append(sampled, home)
 	}
-	for d, n := range left {
-		left[d] = max(int(math.Ceil(maxUnseenPicks/unseen*float64(n))), minSample)
+	for _, list := range candidates {
+		wanted := max(int(math.Ceil(share*float64(len(list)))), minSample)
+		l.order = append(l.order[:0], list...)
+		for i := 0; i < len(l.order) && wanted > 0; i++ {
+			k := i + l.intN(len(l.order)-i)
+			l.order[i], l.order[k] = l.order[k], l.order[i]
+			if u := l.order[i]; w.accepts(u, now) {
+				wanted--
+				if u != home {
+					sampled = append(sampled, u)
+				}
+			}
+		}
 	}
-	return slices.DeleteFunc(list, func(u *upstream) bool {
-		left[l.distance(u)]--
-		return left[l.distance(u)] < 0 && u != keep
-	})
+	return sampled
 }
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -1,18 +1,14 @@
 package kcgate
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
-	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -99,24 +95,32 @@
 
 	mu   sync.Mutex
 	byID map[string]*upstream
+	// byService indexes byID by service. It is nil if it must be made again.
+	byService map[string]upstreamsByDistance
+	// versionsOf holds the results of versions since the last change of byID.
+	versionsOf map[string]versionCounts
 	// loaded is closed once the list is read.
 	loaded    chan struct{}
 	peerLoads map[string]*peerLoad
+	// peersCheckedAt is the time of the last check for reports that have expired.
+	peersCheckedAt kcclock.Millis
 	// peerReportTimes is the sum of the times of the reports in peerLoads.
 	peerReportTimes kcclock.Millis
 	// pickRates holds the rates of picks by service.
 	pickRates map[string]*pickRate
 	prefixes  prefixCache
-	// shuffle is a source of randomness that tests replace.
-	shuffle func(n int, swap func(i, j int))
+	// order is the buffer in which sample shuffles upstreams.
+	order []*upstream
+	// intN is a source of randomness that tests replace.
+	intN func(n int) int
 }
 
 // NewUpstreams returns an empty list for an instance in zone.
 func NewUpstreams(clock kcclock.Clock, zone string, regions map[string]string) *Upstreams {
 	return &Upstreams{
 		clock: clock, zone: zone, region: regions[zone], regions: regions, byID: make(map[string]*upstream),
-		loaded: make(chan struct{}), shuffle: rand.Shuffle, peerLoads: make(map[string]*peerLoad),
-		pickRates: make(map[string]*pickRate),
+		loaded: make(chan struct{}), intN: rand.IntN, peerLoads: make(map[string]*peerLoad),
+		pickRates: make(map[string]*pickRate), versionsOf: make(map[string]versionCounts),
 	}
 }
 
@@ -162,15 +166,26 @@
 	old := l.byID[u.ID]
 	if old != nil && old.StartedAtMs == u.StartedAtMs && old.Address == u.Address {
 		changed := old.Draining != u.Draining
+		if changed || old.Service != u.Service || old.Zone != u.Zone || old.Version != u.Version {
+			l.dropIndex()
+		}
 		old.Upstream, old.missingSince = u, 0
 		return changed
 	}
+	l.dropIndex()
 	l.byID[u.ID] = &upstream{
 		Upstream: u, region: l.regions[u.Zone], breaker: kcretry.NewBreaker(breakerOptions), idHash: xxhash.Sum64String(u.ID),
 	}
 	return true
 }
 
+// dropIndex must be called after a change of byID, and of what the index depends
+// on.
+func (l *Upstreams) dropIndex() {
+	l.byService = nil
+	clear(l.versionsOf)
+}
+
 // Remove removes an entry. lapsed has the same meaning as for Replace.
 func (l *Upstreams) Remove(id string, lapsed bool) {
 	l.mu.Lock()
@@ -189,6 +204,7 @@
 		}
 		return
 	}
+	l.dropIndex()
 	delete(l.byID, id)
 }
 
@@ -197,7 +213,12 @@
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.byID, func(_ string, u *upstream) bool { return u.missingSince != 0 && now-u.missingSince > reregistrationMs })
+	for id, u := range l.byID {
+		if u.missingSince != 0 && now-u.missingSince > reregistrationMs {
+			l.dropIndex()
+			delete(l.byID, id)
+		}
+	}
 }
 
 // Addresses returns the addresses of all upstreams.
@@ -228,10 +249,14 @@
 	return v.counts[version], others
 }
 
-// versions counts the upstreams of a service per version.
+// versions counts the upstreams of a service per version. The caller must not
+// change the result.
 func (l *Upstreams) versions(service string) versionCounts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if v, known := l.versionsOf[service]; known {
+		return v
+	}
 	v := versionCounts{counts: make(map[string]int)}
 	var oldest *upstream
 	for _, u := range l.byID {
@@ -246,98 +271,10 @@
 	if oldest != nil {
 		v.oldestVersion = oldest.Version
 	}
+	l.versionsOf[service] = v
 	return v
 }
 
-// pickCriteria is what a request requires of an upstream.
-type pickCriteria struct {
-	service string
-	// allowsVersion reports whether a version may run the request.
-	allowsVersion func(string) bool
-	// upstreamShare returns the share of the upstreams of a version that get
-	// requests.
-	upstreamShare func(version string) float64
-	// tried holds the ids of upstreams to leave out.
-	tried kcset.Set[string]
-	// prompt describes the prompt of a request to an engine.
-	prompt prompt
-	// holdMs is roughly how long the request occupies a slot.
-	holdMs float64
-}
-
-// pickedUpstream is an upstream that is in use for a request. It must be
-// released.
-type pickedUpstream struct {
-	u *upstream
-	kctable.Upstream
-	// loadAtPick is the estimated load when the upstream was picked. candidates
-	// is the number of upstreams that were eligible.
-	loadAtPick int
-	candidates int
-	// pendingWorkMs is the work that is counted until the response begins.
-	pendingWorkMs float64
-}
-
-// pick chooses an upstream and counts a request for it.
-func (l *Upstreams) pick(w pickCriteria) (*pickedUpstream, bool) {
-	now := l.clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.expirePeerLoads(now)
-	var list []*upstream
-	for _, u := range l.byID {
-		if u.Service == w.service && !u.Draining && w.allowsVersion(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now) {
-			list = append(list, u)
-		}
-	}
-	list = w.limitToShare(list)
-	// Equal upstreams are tried in random order, so that instances do not all
-	// choose the same one.
-	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.idHash, b.idHash) })
-	l.shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	home := l.prefixHome(w, list)
-	list = l.sample(w.service, list, home, now)
-	l.countPick(w.service, now)
-	workers := make([]kcroute.UpstreamWork, len(list))
-	for i, u := range list {
-		workers[i] = kcroute.UpstreamWork{
-			Slots: u.Slots, Running: u.estimatedLoad(now), QueuedMs: u.pendingWorkMs + u.peersWorkMs,
-			RequestMs: l.prefillMs(w.prompt, u, u == home), DistanceMs: distanceCostMs[l.distance(u)], SlotHoldMs: w.holdMs,
-			SlowdownPerRequestMs: perRequestCostMs,
-		}
-	}
-	addFailurePenalty(now, workers, list)
-	i := kcroute.ChooseFastestUpstream(workers)
-	if i < 0 {
-		return nil, false
-	}
-	u := list[i]
-	u.breaker.Allow(now, 0)
-	if u.inFlight == 0 {
-		u.lastActivityAt.Store(int64(now))
-	}
-	u.inFlight++
-	u.pendingWorkMs += workers[i].RequestMs
-	l.prefixes.add(w.prompt, u.ID, now)
-	return &pickedUpstream{
-		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), pendingWorkMs: workers[i].RequestMs,
-	}, true
-}
-
-// addFailurePenalty adds a cost to upstreams that fail more often than the
-// others, although they report themselves healthy.
-func addFailurePenalty(now kcclock.Millis, workers []kcroute.UpstreamWork, list []*upstream) {
-	meanShare := 0.0
-	for _, u := range list {
-		meanShare += u.decayedFailureShare(now) / float64(len(list))
-	}
-	for i, u := range list {
-		if excess := u.decayedFailureShare(now) - meanShare - failureTolerance; excess > 0 {
-			workers[i].DistanceMs += failurePenaltyMs * excess
-		}
-	}
-}
-
 // recordAnswer records whether a response was a server error.
 func (l *Upstreams) recordAnswer(c *pickedUpstream, failure bool) {
 	l.mu.Lock()
@@ -355,27 +292,6 @@
 	return u.failureShare * math.Exp2(-float64(now-u.failureShareAt)/float64(failureHalfLifeMs))
 }
 
-// prefixHome returns the upstream at which all instances of a region expect the
-// shared parts of a prompt to be cached. It is used unless it is busy. With one
-// such upstream per availability zone, the parts would be prefilled once in each
-// zone.
-func (l *Upstreams) prefixHome(w pickCriteria, list []*upstream) *upstream {
-	if w.prompt.affinity == 0 {
-		return nil
-	}
-	var best *upstream
-	var maxHash uint64
-	for _, u := range list {
-		if u.region != l.region {
-			continue
-		}
-		if h := kcset.Mix(w.prompt.affinity ^ u.idHash); best == nil || h > maxHash {
-			best, maxHash = u, h
-		}
-	}
-	return best
-}
-
 // markAnswerStarted records that the response has begun, so the prompt is
 // prefilled.
 func (l *Upstreams) markAnswerStarted(c *pickedUpstream) {
@@ -409,29 +325,6 @@
 	return first
 }
 
-// limitToShare returns the share of the upstreams that get requests. All
-// instances select the same ones, and some in each availability zone.
-func (w pickCriteria) limitToShare(list []*upstream) []*upstream {
-	if w.upstreamShare == nil || len(list) == 0 {
-		return list
-	}
-	share := w.upstreamShare(list[0].Version)
-	if share >= 1 {
-		return list
-	}
-	slices.SortFunc(list, func(a, b *upstream) int {
-		return cmp.Compare(kcset.RendezvousHash(a.ID, w.service), kcset.RendezvousHash(b.ID, w.service))
-	})
-	inZone, taken := make(map[string]int), make(map[string]int)
-	for _, u := range list {
-		inZone[u.Zone]++
-	}
-	return slices.DeleteFunc(list, func(u *upstream) bool {
-		taken[u.Zone]++
-		return float64(taken[u.Zone]) > math.Ceil(share*float64(inZone[u.Zone]))
-	})
-}
-
 // outcome is how an attempt ended for the upstream.
 type outcome int
 
--- a/internal/kcgate/upstreams_test.go
+++ b/internal/kcgate/upstreams_test.go
@@ -122,7 +122,7 @@
 		rnd := rand.New(rand.NewPCG(5, 5))
 		clock := kcclock.NewManual(1000)
 		l := NewUpstreams(clock, "z", nil)
-		l.shuffle = rnd.Shuffle
+		l.intN = rnd.IntN
 		l.Replace(newUpstreamList(4), false)
 		got := 0
 		for range 600 {
