kcedge: Address messages to instances, not to a store

Cause: a hash of the address of the store told deployments apart.

A message now names the instance that it is meant for, as its sender found it on the list: name, availability zone and region. Another instance at the address refuses it, and its answers are not accepted. Queries for sessions carry the id of their sender, which is not on every list yet.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -145,7 +145,7 @@
 	) *kcfeed.Follower {
 		reader := &kcfeed.PeerReader{
 			Store: e.store, Pool: e.storePool, Clock: clock, Log: opts.Log, PeerAddr: e.peers.readerAddr, OnPeerLost: e.peers.peerLost,
-			MaxAgeMs: maxAge, StoreFallbackMs: storeFallbackMs, StoreID: e.peers.storeID.String(),
+			MaxAgeMs: maxAge, StoreFallbackMs: storeFallbackMs, PeerID: e.peers.idAt,
 		}
 		return kcfeed.New(kcfeed.Options{
 			Reader: reader, Clock: clock, Log: opts.Log, Topic: topic,
@@ -234,7 +234,7 @@
 		mux := http.NewServeMux()
 		mux.Handle("GET "+kcfeed.FeedPath, &kcfeed.Relay{
 			Clock: kcclock.Boot{}, Log: e.Log, Store: e.store,
-			StoreID: e.peers.storeID.String(), OnForeign: e.peers.recordForeign,
+			InstanceID: e.peers.ownID.String(), OnForeign: e.peers.recordForeign,
 			Followers: map[string]*kcfeed.Follower{
 				kcplatform.TopicOperator: e.configFollower, kcplatform.TopicUpstreams: e.upstreamFollower,
 				kcplatform.TopicStatus: e.progressFollower,
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -66,6 +66,8 @@
 	// LinkMbps is the bandwidth of the machine of the instance in Mbit/s, 0 if
 	// unknown.
 	LinkMbps int `json:"linkMbps,omitempty"`
+	// id follows from the key of the entry, the availability zone and the region.
+	id instanceID
 }
 
 // readerRank orders the instances that may read the store for an availability
@@ -88,7 +90,7 @@
 // instances, and chooses the instance that reads the store for this one.
 type peers struct {
 	edge    *Edge
-	storeID storeID
+	ownID   instanceID
 	udpConn *net.UDPConn
 	// listener accepts reads and evidence of peers in the same availability zone.
 	listener net.Listener
@@ -114,7 +116,8 @@
 
 func newPeers(e *Edge) *peers {
 	return &peers{
-		edge: e, storeID: newStoreID(e.Deployment.StoreAddr), sameRegion: make(map[string]peerEntry), otherRegions: make(map[string]peerEntry),
+		edge: e, ownID: newInstanceID(e.Deployment.Instance, e.Deployment.Zone, e.Deployment.Region),
+		sameRegion: make(map[string]peerEntry), otherRegions: make(map[string]peerEntry),
 		heardAt: make(map[string]kcclock.Millis),
 	}
 }
@@ -231,7 +234,8 @@
 	ctx, cancel := kcclock.WithTimeout(ctx, kcclock.Boot{}, evidenceCallTimeoutMs)
 	defer cancel()
 	resp, err := p.edge.storePool.Do(ctx, addr, &kcconn.Request{
-		Method: http.MethodPost, Target: evidencePath + "?" + kcfeed.StoreParam + "=" + p.storeID.String(), Host: addr, Header: http.Header{}, Body: raw,
+		Method: http.MethodPost, Target: evidencePath + "?" + kcfeed.InstanceParam + "=" + p.idAt(addr), Host: addr,
+		Header: http.Header{}, Body: raw,
 	})
 	if err != nil {
 		p.edge.Log.Warn("cannot forward evidence", "peer", addr, "error", err)
@@ -243,7 +247,7 @@
 
 // serveEvidence accepts the evidence of a peer.
 func (p *peers) serveEvidence(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get(kcfeed.StoreParam) != p.storeID.String() {
+	if r.URL.Query().Get(kcfeed.InstanceParam) != p.ownID.String() {
 		p.recordForeign(r.RemoteAddr)
 		http.Error(w, kcfeed.ErrForeign.Error(), http.StatusForbidden)
 		return
@@ -281,6 +285,7 @@
 			p.edge.Log.Warn("cannot decode instance entry; ignoring it", "instance", r.Key, "offset", r.Offset, "error", err)
 			continue
 		}
+		entry.id = newInstanceID(r.Key, entry.Zone, entry.Region)
 		switch {
 		case r.Key == p.edge.Deployment.Instance:
 			p.ownEntry = entry
@@ -296,15 +301,15 @@
 	p.edge.Log.Info("list of instances read", "instances", len(p.sameRegion), "otherRegions", len(p.otherRegions))
 }
 
-// allAddresses returns the addresses of the peers in all regions, those of the
-// own availability zone first.
-func (p *peers) allAddresses() []netip.AddrPort {
-	near, far := p.regionAddresses()
+// allRegions returns the peers in all regions, those of the own availability zone
+// first.
+func (p *peers) allRegions() []destination {
+	near, far := p.ownRegion()
 	list := slices.Concat(near, far)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, entry := range p.otherRegions {
-		list = append(list, entry.Address)
+		list = append(list, destination{entry.Address, entry.id})
 	}
 	return list
 }
@@ -316,16 +321,16 @@
 	return p.listRead
 }
 
-// regionAddresses returns the addresses of the peers in the own availability
-// zone and those in the other ones of the region.
-func (p *peers) regionAddresses() (near, far []netip.AddrPort) {
+// ownRegion returns the peers in the own availability zone and those in the other
+// ones of the region.
+func (p *peers) ownRegion() (near, far []destination) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, entry := range p.sameRegion {
 		if entry.Zone == p.edge.Deployment.Zone {
-			near = append(near, entry.Address)
+			near = append(near, destination{entry.Address, entry.id})
 		} else {
-			far = append(far, entry.Address)
+			far = append(far, destination{entry.Address, entry.id})
 		}
 	}
 	return near, far
@@ -339,7 +344,7 @@
 		return
 	}
 	d := p.edge.Deployment
-	entry := peerEntry{Zone: d.Zone, Region: d.Region, Address: addr, LinkMbps: d.LinkMbps}
+	entry := peerEntry{Zone: d.Zone, Region: d.Region, Address: addr, LinkMbps: d.LinkMbps, id: p.ownID}
 	raw, err := json.Marshal(entry)
 	if err != nil {
 		p.edge.Log.Error("cannot encode instance entry", "error", err)
@@ -433,7 +438,7 @@
 	for kcclock.Wait(ctx, clock, minZoneReportIntervalMs) == nil {
 		now := clock.Now()
 		sessions.report(p, now)
-		near, far := p.regionAddresses()
+		near, far := p.ownRegion()
 		if now-lastSentAt < reportInterval(len(near), maxZoneReportsPerSecond, minZoneReportIntervalMs) {
 			continue
 		}
@@ -463,10 +468,13 @@
 	return min(max(kcclock.Millis(peers)*kcclock.Second/kcclock.Millis(perSecond), shortest), maxReportIntervalMs)
 }
 
-func (p *peers) send(raw []byte, to []netip.AddrPort) {
-	raw = append(p.storeID.prefix(), raw...)
-	for _, addr := range to {
-		if _, err := p.udpConn.WriteToUDPAddrPort(raw, addr); err != nil {
+// send sends a message to instances. Its first bytes tell which one it is meant
+// for.
+func (p *peers) send(raw []byte, to []destination) {
+	b := make([]byte, 0, instanceIDBytes+len(raw))
+	for _, d := range to {
+		b = append(d.id.appendTo(b[:0]), raw...)
+		if _, err := p.udpConn.WriteToUDPAddrPort(b, d.addr); err != nil {
 			p.edge.metrics.Count("peers.sendFailed")
 		}
 	}
@@ -480,7 +488,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = p.udpConn.Close() })
 	defer stop()
-	buf := make([]byte, storeIDBytes+kcload.MaxMessageBytes)
+	buf := make([]byte, instanceIDBytes+kcload.MaxMessageBytes)
 	for {
 		n, from, err := p.udpConn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
@@ -498,15 +506,15 @@
 
 // handleMessage decodes and applies one message of a peer.
 func (p *peers) handleMessage(raw []byte, from netip.AddrPort) error {
-	raw, own := p.storeID.cutPrefix(raw)
+	raw, own := p.ownID.cutPrefix(raw)
 	if !own {
 		p.recordForeign(from.Addr().String())
 		return nil
 	}
 	if kcload.IsSessionQuery(raw) {
-		order, err := kcload.DecodeSessionQuery(raw)
+		q, err := kcload.DecodeSessionQuery(raw)
 		if err == nil {
-			p.answerSessionQuery(order, from)
+			p.answerSessionQuery(q.OrderOffset, destination{from, instanceID(q.Sender)})
 		}
 		return err
 	}
--- a/internal/kcedge/sessions.go
+++ b/internal/kcedge/sessions.go
@@ -1,8 +1,6 @@
 package kcedge
 
 import (
-	"net/netip"
-
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -20,22 +18,22 @@
 // querySessions asks some peers for the sessions of a rollout order that this
 // instance has learned of late.
 func (p *peers) querySessions(order int64) {
-	list := p.allAddresses()
+	list := p.allRegions()
 	if len(list) == 0 {
 		if p.listKnown() {
 			p.edge.gate.Rollouts.MarkSessionsSynced(order)
 		}
 		return
 	}
-	p.send(kcload.EncodeSessionQuery(order), list[:min(len(list), maxQueriedPeers)])
+	p.send(kcload.EncodeSessionQuery(kcload.SessionQuery{OrderOffset: order, Sender: uint32(p.ownID)}), list[:min(len(list), maxQueriedPeers)])
 }
 
 // answerSessionQuery sends the known sessions of a rollout order to the peer
 // that asked for them.
-func (p *peers) answerSessionQuery(order int64, to netip.AddrPort) {
+func (p *peers) answerSessionQuery(order int64, to destination) {
 	for _, m := range p.edge.gate.Rollouts.SessionSnapshot(order) {
 		for _, raw := range kcload.EncodeSessionReport(m) {
-			p.send(raw, []netip.AddrPort{to})
+			p.send(raw, []destination{to})
 		}
 	}
 }
@@ -60,7 +58,7 @@
 		s.sentAt = now
 		for _, raw := range kcload.EncodeSessionReport(m) {
 			p.edge.metrics.Count("peers.sessionsTold")
-			p.send(raw, p.allAddresses())
+			p.send(raw, p.allRegions())
 		}
 	}
 }
--- a/internal/kcfeed/relay.go
+++ b/internal/kcfeed/relay.go
@@ -28,8 +28,9 @@
 	maxPageBytes = 8 << 20
 	// FeedPath is the URL path of the relay. The topic follows it.
 	FeedPath = "/feed/"
-	// StoreParam is the query parameter with the StoreID of the peer that asks.
-	StoreParam = "store"
+	// InstanceParam is the query parameter with the id of the instance that a
+	// request is meant for.
+	InstanceParam = "instance"
 	// snapshotOnly is the offset with which peers that have no state yet ask for
 	// a snapshot.
 	snapshotOnly int64 = -1
@@ -42,9 +43,9 @@
 	sharedSnapshotTimeoutMs = 1200 * kcclock.Millisecond
 )
 
-// ErrForeign means that a peer reads another store. The address of an instance
-// may belong to another deployment after the instance is gone.
-var ErrForeign = errs.New("the instance belongs to another deployment")
+// ErrForeign means that the address of a peer belongs to another instance, perhaps
+// of another deployment.
+var ErrForeign = errs.New("the address belongs to another instance")
 
 // recentRecords keeps the newest records of a topic for peers.
 type recentRecords struct {
@@ -102,9 +103,9 @@
 
 // wirePage is the answer to a read of a peer.
 type wirePage struct {
-	// StoreID identifies the store that the records come from.
-	StoreID string         `json:"store,omitempty"`
-	AgeMs   kcclock.Millis `json:"ageMs"`
+	// InstanceID identifies the instance that answers.
+	InstanceID string         `json:"instance,omitempty"`
+	AgeMs      kcclock.Millis `json:"ageMs"`
 	// Snapshot and NextOffset are set if Records holds the newest record of every
 	// key.
 	Snapshot   bool     `json:"whole,omitempty"`
@@ -167,8 +168,9 @@
 	Log   *slog.Logger
 	// Store is read for peers that need a snapshot.
 	Store Reader
-	// StoreID identifies the store. Reads of peers with another store are refused.
-	StoreID string
+	// InstanceID identifies this instance. Reads that are meant for another one are
+	// refused.
+	InstanceID string
 	// OnForeign, if set, is called with the address of a peer whose read was
 	// refused.
 	OnForeign func(addr string)
@@ -248,7 +250,7 @@
 
 func (r *Relay) writePage(w http.ResponseWriter, req *http.Request, page wirePage) {
 	w.Header().Set("Content-Type", "application/json")
-	page.StoreID = r.StoreID
+	page.InstanceID = r.InstanceID
 	out := io.Writer(w)
 	if req.Header.Get("Accept-Encoding") == gzipEncoding && page.valueBytes() >= minCompressBytes {
 		page.moveToTexts()
@@ -276,7 +278,7 @@
 		http.Error(w, "want "+FeedPath+"TOPIC?from=OFFSET&waitMs=N", http.StatusBadRequest)
 		return
 	}
-	if q.Get(StoreParam) != r.StoreID {
+	if q.Get(InstanceParam) != r.InstanceID {
 		if r.OnForeign != nil {
 			r.OnForeign(req.RemoteAddr)
 		}
@@ -314,12 +316,12 @@
 	Pool  *kcconn.Pool
 	Clock kcclock.Clock
 	Log   *slog.Logger
-	// StoreID identifies the store. Answers of peers with another store are not
-	// accepted.
-	StoreID string
 	// PeerAddr returns the address of the instance that reads for this one, and
 	// false if this one has to read for itself.
 	PeerAddr func() (string, bool)
+	// PeerID, if set, returns the id of the instance that is expected at an address.
+	// Answers of another one are not accepted.
+	PeerID func(addr string) string
 	// OnPeerLost, if set, is called with the address of a peer that did not
 	// answer, so that PeerAddr returns another one.
 	OnPeerLost func(addr string)
@@ -490,8 +492,12 @@
 	head, stop := kcclock.WithTimeout(ctx, p.Clock, wait+limit)
 	defer stop()
 	stopHeadCancel := context.AfterFunc(head, cancel)
+	peerID := ""
+	if p.PeerID != nil {
+		peerID = p.PeerID(addr)
+	}
 	query := url.Values{
-		"from": {strconv.FormatInt(from, 10)}, "waitMs": {strconv.FormatInt(int64(wait), 10)}, StoreParam: {p.StoreID},
+		"from": {strconv.FormatInt(from, 10)}, "waitMs": {strconv.FormatInt(int64(wait), 10)}, InstanceParam: {peerID},
 	}
 	resp, err := p.Pool.Do(ctx, addr, &kcconn.Request{
 		Method: http.MethodGet, Target: FeedPath + topic + "?" + query.Encode(), Host: addr,
@@ -521,7 +527,7 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return page, err
 	}
-	if w.StoreID != p.StoreID {
+	if w.InstanceID != peerID {
 		return page, ErrForeign
 	}
 	w.moveFromTexts()
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -68,9 +68,10 @@
 		if !reflect.DeepEqual(got, m.Sessions) {
 			t.Fatalf("%d sessions, want %d", len(got), len(m.Sessions))
 		}
-		order, err := kcload.DecodeSessionQuery(kcload.EncodeSessionQuery(m.OrderOffset))
-		if err != nil || order != m.OrderOffset {
-			t.Fatalf("a query for %d asks for %d, %v", m.OrderOffset, order, err)
+		want := kcload.SessionQuery{OrderOffset: m.OrderOffset, Sender: rapid.Uint32().Draw(t, "sender")}
+		query, err := kcload.DecodeSessionQuery(kcload.EncodeSessionQuery(want))
+		if err != nil || query != want {
+			t.Fatalf("%+v, %v: want %+v", query, err, want)
 		}
 	})
 }
--- a/internal/kcload/sessions.go
+++ b/internal/kcload/sessions.go
@@ -1,6 +1,9 @@
 package kcload
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"math"
+)
 
 // SessionReport tells which sessions an instance serves with another version
 // than the target of a rollout order. Reports add to each other. The next
@@ -39,17 +42,26 @@
 // IsSessionQuery reports whether a message asks for session reports.
 func IsSessionQuery(b []byte) bool { return len(b) > 0 && b[0] == sessionQueryFormat }
 
-// EncodeSessionQuery returns a message that asks for the sessions of the
-// rollout order with the given offset.
-func EncodeSessionQuery(order int64) []byte {
-	return binary.AppendUvarint([]byte{sessionQueryFormat}, uint64(max(order, 0)))
+// SessionQuery asks for the sessions of a rollout order.
+type SessionQuery struct {
+	// OrderOffset is the offset of the record of the rollout order.
+	OrderOffset int64
+	// Sender identifies the instance that asks, which is not on every list yet.
+	Sender uint32
+}
+
+// EncodeSessionQuery returns the encoded query.
+func EncodeSessionQuery(q SessionQuery) []byte {
+	b := binary.AppendUvarint([]byte{sessionQueryFormat}, uint64(max(q.OrderOffset, 0)))
+	return binary.AppendUvarint(b, uint64(q.Sender))
 }
 
-// DecodeSessionQuery returns the offset of the rollout order that a query asks
-// for.
-func DecodeSessionQuery(raw []byte) (int64, error) {
+// DecodeSessionQuery decodes a query.
+func DecodeSessionQuery(raw []byte) (SessionQuery, error) {
 	d := decoder{b: raw[1:]}
-	return int64(d.uvarint() & maxOffset), d.err
+	q := SessionQuery{OrderOffset: int64(d.uvarint() & maxOffset)}
+	q.Sender = uint32(d.uvarint() & math.MaxUint32)
+	return q, d.err
 }
 
 // finalAnswerFlag marks the last message of the answer to a query.
