kcconn, kcupstream: Do not take a late response for the next one

Cause: an error without an id on a used connection was taken for the response to the request. A server that sends a second copy of an error, late, then answers the next request. With "not run" in it, that request was sent to another upstream although it ran. At the project's own door the same held for any response of a service that does not return ids.

On a used connection only a response with the id counts. Repeatable calls are sent again on a new connection, and addresses without ids get new connections from then on, which are used once. Other calls of the own door did that already.

TestLateErrorIsNotTakenForNextRequest: nil error for the third request before. TestLateResponseWithoutIDIsNotTakenForNextRequest: request 3 got the answer to 1.

--- a/internal/kcconn/conn_test.go
+++ b/internal/kcconn/conn_test.go
@@ -178,3 +178,33 @@
 		t.Errorf("the response %q after 8,000 interim ones was accepted", body)
 	}
 }
+
+// Guards against taking a late second copy of an error for the response to the
+// next request on the connection. An error that says "not run" would have that
+// request run a second time at another upstream.
+func TestLateErrorIsNotTakenForNextRequest(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	answers := []string{
+		// A new connection has served no other request, so that its first response
+		// is that of the request.
+		rejection,
+		"HTTP/1.1 200 OK\r\nId: second\r\nContent-Length: 2\r\n\r\nok",
+		rejection,
+	}
+	addr, conns := startServer(t, func(n int) string { return answers[n-1] })
+	p := newPool(t, kcclock.NewManual(1000))
+	if _, err := send(p, addr, kcconn.Request{ID: "first"}); err != nil {
+		t.Errorf("the response to the first request: %v", err)
+	}
+	if body, err := send(p, addr, kcconn.Request{ID: "second"}); err != nil || body != "ok" {
+		t.Errorf("%q, %v", body, err)
+	}
+	_, err := send(p, addr, kcconn.Request{ID: "third"})
+	var connErr *kcconn.Error
+	if !errors.As(err, &connErr) || !connErr.MaybeSent {
+		t.Errorf("%v: want an error after the request may have been sent", err)
+	}
+	if conns.Load() != 1 {
+		t.Errorf("%d connections, want one that is used again", conns.Load())
+	}
+}
--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -129,7 +129,8 @@
 
 // readResponse returns the response that carries the id of the request. It skips
 // responses to earlier requests on the connection. An error response without an
-// id is taken for the response to this request.
+// id is taken for the response to this request only on a new connection: on one
+// that was used before, it may be a late second response to an earlier request.
 func (p *Pool) readResponse(c *conn, req *Request) (*http.Response, error) {
 	for range maxStrayResponses + 1 {
 		resp, err := c.readResponseHeader(req.Method)
@@ -137,17 +138,17 @@
 			return nil, err
 		}
 		id := resp.Header.Get(p.opts.RequestIDHeader)
-		if req.ID == "" || id == req.ID || id == "" && resp.StatusCode >= http.StatusBadRequest {
+		if req.ID == "" || id == req.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !c.reused {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 || resp.ContentLength > maxStrayResponseBytes || resp.Close {
+		if id == "" || resp.ContentLength < 0 || resp.ContentLength > maxStrayResponseBytes || resp.Close {
 			break
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
 	}
-	return nil, errs.New("the response carries the id of another request")
+	return nil, errs.New("the response does not carry the id of the request")
 }
 
 // Finish returns the connection to the pool if the body was read to its end and
--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -95,6 +96,9 @@
 	scheme   string
 	pooled   *http.Client
 	unpooled *http.Client
+	// withoutIDs holds addresses whose responses carry no request id. Their calls
+	// use new connections only.
+	withoutIDs *lru.Cache[string, struct{}]
 	// background runs the cancellations at engines and the wait for connections
 	// that end after a complete stream.
 	background taskGroup
@@ -105,6 +109,9 @@
 	// idleConnTimeout is short, because the longer a connection was idle, the
 	// likelier it has stalled unnoticed.
 	idleConnTimeout = 30 * time.Second
+	// maxAddrsWithoutIDs bounds the remembered addresses. A forgotten one costs a
+	// call that is sent again.
+	maxAddrsWithoutIDs = 4096
 	// HeaderRequestID carries the request id to the upstream and back.
 	HeaderRequestID = "X-Request-Id"
 )
@@ -119,6 +126,7 @@
 		opts.OnRetry = func(string) {}
 	}
 	c := &Client{opts: opts, scheme: "http://"}
+	c.withoutIDs, _ = lru.New[string, struct{}](maxAddrsWithoutIDs) // the size is positive
 	pooled := base.Clone()
 	pooled.MaxIdleConnsPerHost = maxIdleConnsPerHost
 	pooled.IdleConnTimeout = idleConnTimeout
@@ -157,19 +165,34 @@
 	if !call.Repeatable {
 		return c.doOnce(ctx, c.unpooled, t, call, nil)
 	}
+	if c.withoutIDs.Contains(t.Addr) {
+		return c.doOnce(ctx, c.unpooled, t, call, nil)
+	}
 	stalled := make(chan struct{})
 	res := c.doOnce(ctx, c.pooled, t, call, stalled)
-	if res.Err == nil || ctx.Err() != nil || !isClosed(stalled) {
+	reason := RetryStalledConnection
+	switch {
+	case res.Err == nil || ctx.Err() != nil:
+		return res
+	case errors.Is(res.Err, errUnattributed):
+		reason = RetryMismatchedResponse
+	case isClosed(stalled):
+		c.CloseIdleConnections() // other pooled connections may have stalled as well
+	default:
 		return res
 	}
-	c.CloseIdleConnections() // other pooled connections may have stalled as well
 	if call.AllowRetry != nil && !call.AllowRetry() {
 		return res
 	}
-	c.opts.OnRetry(RetryStalledConnection)
+	c.opts.OnRetry(reason)
 	return c.doOnce(ctx, c.unpooled, t, call, nil)
 }
 
+// errUnattributed means that a response on a connection that was used before does
+// not carry the id of a request. It may be a late second response to an earlier
+// one.
+var errUnattributed = errors.New("the response on a used connection carries no request id")
+
 func isClosed(ch <-chan struct{}) bool {
 	select {
 	case <-ch:
@@ -186,11 +209,12 @@
 	callerCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var sent atomic.Bool
+	var sent, reused atomic.Bool
 	var progress atomic.Int64
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			sent.Store(true)
+			reused.Store(info.Reused)
 			if stalled != nil && info.Reused {
 				go c.watchForStall(ctx, cancel, &progress, stalled)
 			}
@@ -214,6 +238,12 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	resp.Body = progressBody{resp.Body, &progress}
+	if call.RequestID != "" && resp.Header.Get(HeaderRequestID) == "" {
+		c.withoutIDs.Add(t.Addr, struct{}{})
+		if reused.Load() {
+			return Result{Sent: true, Err: errUnattributed}
+		}
+	}
 	return c.readResponse(t, call, resp)
 }
 
--- a/internal/kcupstream/client_test.go
+++ b/internal/kcupstream/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -228,3 +229,56 @@
 		}
 	}
 }
+
+// Guards against taking a late second copy of a response for the response to the
+// next request on the connection, where the service does not return the id of
+// the request.
+func TestLateResponseWithoutIDIsNotTakenForNextRequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serveLate(nc)
+		}
+	}()
+	c := NewClient(Options{
+		Clock: kcclock.System{}, IdleTimeoutMs: idleTimeoutMs, MaxResponseBytes: 100, OnRetry: func(string) {},
+	})
+	defer c.CloseIdleConnections()
+	for _, want := range []string{"1", "2", "3"} {
+		call := Call{Path: "/x", RequestID: want, Repeatable: true, TimeoutMs: 5000}
+		res := c.Do(t.Context(), Target{Addr: ln.Addr().String()}, call)
+		if res.Err != nil || string(res.Body) != want {
+			t.Errorf("request %s got %q, %v", want, res.Body, res.Err)
+		}
+	}
+}
+
+// serveLate answers each request with its id in the body only. To all but the
+// first request of the connection it answers with a copy of the response before.
+func serveLate(nc net.Conn) {
+	defer func() { _ = nc.Close() }()
+	br, previous := bufio.NewReader(nc), ""
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		body := req.Header.Get(HeaderRequestID)
+		if previous != "" {
+			body = previous
+		}
+		previous = body
+		if _, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+			return
+		}
+	}
+}
