kcgate: Do not cut slow streams that cannot be resumed

Cause: a stream without events for 2.5 times the permitted pause was ended at its upstream, to be resumed at another one. Where the route permits no resumption, or no attempt is left, nothing could resume it: the caller got a broken stream for an answer that was only late, and may not ask again.

Such a stream is waited for until callers abandon it: eight permitted pauses, or four times the objective if that is longer. Bytes that are no events do not extend the time, as before.

--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -125,11 +125,24 @@
 // defaultPauseMs is the permitted pause of routes that configure none.
 const defaultPauseMs = kcclock.Second
 
-func (x *exchange) stallTimeout() kcclock.Millis {
+// abandonFactor is the multiple of the permitted pause after which callers
+// abandon a stream without events. Until then, a stream that no other upstream may
+// resume is worth waiting for: it is late, but it may still end.
+const abandonFactor = 8
+
+// abandonObjectives is the multiple of the latency objective below which callers
+// abandon no stream.
+const abandonObjectives = 4
+
+// stallTimeout returns how long a stream at an upstream may be without events.
+func (x *exchange) stallTimeout(c *pickedUpstream) kcclock.Millis {
 	pauseMs := x.route.MaxEventGapMs
 	if pauseMs <= 0 {
 		pauseMs = defaultPauseMs
 	}
+	if !x.canRetryElsewhere(c) {
+		return max(abandonFactor*pauseMs, abandonObjectives*x.route.LatencyObjectiveMs)
+	}
 	return kcclock.Millis(stallFactor * float64(pauseMs))
 }
 
@@ -167,7 +180,7 @@
 // event that was forwarded.
 func (x *exchange) relayEvents(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last *int64) error {
 	rd := newEventReader(resp.Body)
-	readTimeout := x.stallTimeout()
+	readTimeout := x.stallTimeout(c)
 	firstEventAt := kcclock.Millis(0)
 	x.events = 0
 	for {
