--- a/internal/kcedge/sessions.go
+++ b/internal/kcedge/sessions.go
@@ -25,7 +25,8 @@
 		}
 		return
 	}
-	p.send(kcload.EncodeSessionQuery(kcload.SessionQuery{OrderOffset: order, Sender: uint32(p.ownID)}), list[:min(len(list), maxQueriedPeers)])
+	query := kcload.SessionQuery{OrderOffset: order, Sender: uint32(p.ownID)}
+	p.send(kcload.EncodeSessionQuery(query), list[:min(len(list), maxQueriedPeers)])
 }
 
 // answerSessionQuery sends the known sessions of a rollout order to the peer
--- a/internal/kcedge/stop_test.go
+++ b/internal/kcedge/stop_test.go
@@ -29,7 +29,7 @@
 	go func() { served <- s.Serve(ln) }()
 	answered := make(chan error, 1)
 	go func() {
-		resp, err := http.Get("http://" + ln.Addr().String()) //nolint:noctx // ends with the server
+		resp, err := http.Get("http://" + ln.Addr().String())
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
 			_ = resp.Body.Close()
--- a/internal/kcgate/pick_bench_test.go
+++ b/internal/kcgate/pick_bench_test.go
@@ -34,7 +34,9 @@
 			}
 			w := pickCriteria{
 				service: "s", allowsVersion: anyVersion,
-				prompt: prompt{tokens: 2000, msPerToken: 0.01, affinity: 7, parts: []PromptPart{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 1000}}},
+				prompt: prompt{
+					tokens: 2000, msPerToken: 0.01, affinity: 7, parts: []PromptPart{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 1000}},
+				},
 			}
 			clock.Advance(300)
 			for b.Loop() {
