kcupstream: Do not let repeated events keep a stalled stream open

Cause: each event of a stream restarted the idle timeout, also one that had been delivered before. An engine that repeats an old event now and then kept a stalled stream open until the deadline of the request, which is hours for a job.

streams.txtar, "repeated events without progress": 2 of 3 runs failed on the old code (the client must read an event between two steps of the clock, which the test can only wait for by yielding), none of 8 with the change, five of them with the race detector.

--- a/internal/kcupstream/stream.go
+++ b/internal/kcupstream/stream.go
@@ -279,6 +279,11 @@
 // idle timeout passes. wait must return when expired is closed or ctx is done.
 func (s *Stream) awaitWithIdleTimeout(ctx context.Context, wait func(expired <-chan struct{}) bool) error {
 	s.idle.reset()
+	return s.awaitProgress(ctx, wait)
+}
+
+// awaitProgress is awaitWithIdleTimeout with the idle timeout that runs already.
+func (s *Stream) awaitProgress(ctx context.Context, wait func(expired <-chan struct{}) bool) error {
 	for !wait(s.idle.timerC()) {
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
@@ -291,12 +296,13 @@
 }
 
 // nextEvent returns the next event of the current connection that was not
-// delivered before.
+// delivered before. Events that were do not extend the idle timeout.
 func (s *Stream) nextEvent(ctx context.Context) (Event, error) {
+	s.idle.reset()
 	for {
 		var ev Event
 		var open bool
-		cause := s.awaitWithIdleTimeout(ctx, func(expired <-chan struct{}) bool {
+		cause := s.awaitProgress(ctx, func(expired <-chan struct{}) bool {
 			select {
 			case ev, open = <-s.conn.events:
 				return true
--- a/internal/kcupstream/stream_test.go
+++ b/internal/kcupstream/stream_test.go
@@ -69,6 +69,8 @@
 			panic(http.ErrAbortHandler)
 		case "silent":
 			s.advancePastIdleTimeout(r.Context(), retriesBefore)
+		case "repeating":
+			s.repeatEvent(w, retriesBefore)
 		case "done":
 			_, _ = io.WriteString(w, "data: [DONE]\n\n")
 		case "crossed":
@@ -108,6 +110,37 @@
 	}
 }
 
+func (s *scriptedEngine) undelivered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deliveredCount != s.sentCount
+}
+
+// repeatEvent sends event 0 again and again, twice in each idle timeout, until the
+// client abandons the connection. It gives up after a hundred idle timeouts.
+func (s *scriptedEngine) repeatEvent(w http.ResponseWriter, retriesBefore int) {
+	for s.undelivered() {
+		runtime.Gosched()
+	}
+	for range 200 {
+		s.clock.AwaitWaiters(1) // the client waits for the next event
+		s.mu.Lock()
+		abandoned := s.retryCount != retriesBefore
+		if !abandoned {
+			s.clock.Advance(idleTimeoutMs / 2)
+		}
+		s.mu.Unlock()
+		if abandoned {
+			return
+		}
+		_, _ = io.WriteString(w, "id: 0\ndata: {\"id\":\"chatcmpl-req\",\"n\":0}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		for range 100_000 {
+			runtime.Gosched() // the client reads the event
+		}
+	}
+}
+
 func (s *scriptedEngine) start(t *testing.T) (*Client, Target) {
 	t.Helper()
 	srv := httptest.NewServer(s)
