kcgate: Count slow answers of upstreams whose failures are left out

A slow version was completed.

Only failures are left out. TestSlowAnswersOfOutliersCount: 12 slow answers counted before, 16 now.

--- a/internal/kcgate/outlier.go
+++ b/internal/kcgate/outlier.go
@@ -68,8 +68,10 @@
 	return out
 }
 
-// targetEvidence returns the evidence on the target of an order without its
-// outliers, and the outliers.
+// targetEvidence returns the evidence on the target of an order without the
+// failures at its outliers, and the outliers. How slow their answers are still
+// counts: the stalled streams of a slow version are failures, which may happen at
+// a few upstreams only.
 func targetEvidence(e *kcrollout.Evidence) (kcrollout.Strata, kcset.Set[string]) {
 	single := e.PooledBy(func(version string) (string, bool) { return strings.CutPrefix(version, upstreamArm("")) })
 	failures := make(map[string]kcrollout.Count, len(single))
@@ -79,10 +81,10 @@
 	skipped := findOutliers(failures)
 	sum := e.Pooled(targetArm)
 	for name, strata := range single {
-		if skipped.Has(name) {
-			continue
-		}
 		for stratum, t := range strata {
+			if skipped.Has(name) {
+				t = kcrollout.Tally{kcrollout.Slow: t[kcrollout.Slow]}
+			}
 			sum[stratum] = sum[stratum].Plus(t)
 		}
 	}
--- a/internal/kcgate/outlier_test.go
+++ b/internal/kcgate/outlier_test.go
@@ -76,3 +76,28 @@
 		}
 	}
 }
+
+// Guards against a slow version that is completed, because its streams stall and
+// count as failures at a few upstreams, whose slow answers are then left out as
+// well.
+func TestSlowAnswersOfOutliersCount(t *testing.T) {
+	e := kcrollout.NewEvidence()
+	for name, failures := range map[string]int{"u1": 2, "u2": 0, "u3": 0, "u4": 0} {
+		arm := kcrollout.Arm{Version: upstreamArm(name)}
+		for n := range 4 {
+			e.Add("i", arm, kcrollout.Failure, n < failures)
+			e.Add("i", arm, kcrollout.Slow, true)
+		}
+	}
+	strata, skipped := targetEvidence(e)
+	got := strata.Sum()
+	if !skipped.Has("u1") || len(skipped) != 1 {
+		t.Fatalf("left out %v, want u1, which alone fails", skipped)
+	}
+	if want := (kcrollout.Count{Total: 12}); got[kcrollout.Failure] != want {
+		t.Errorf("failures %+v, want %+v: those of the others", got[kcrollout.Failure], want)
+	}
+	if want := (kcrollout.Count{Bad: 16, Total: 16}); got[kcrollout.Slow] != want {
+		t.Errorf("slow answers %+v, want %+v", got[kcrollout.Slow], want)
+	}
+}
