kcgate: Log the counts of the old version with the evidence of an order

Cause: "order held back" and "version suspected" gave the counts of the target only, so that nobody could tell why 25 slow answers of 28 were not enough. With reference they show that 200 of 494 answers of the old version count as slow.

--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -363,7 +363,7 @@
 	if _, bad := s.detector.Regression(); bad && !s.suspected {
 		s.suspected = true
 		o.opts.Log.Warn("version suspected", "service", s.order.Service, "version", s.order.Target,
-			"evidence", s.detector.Observed(), "order", s.order.Offset)
+			"evidence", s.detector.Observed(), "reference", s.evidence.Pooled(controlArm).Sum(), "order", s.order.Offset)
 	}
 }
 
@@ -491,7 +491,7 @@
 		s.holdLogged = true
 		signal, doubt := s.detector.LogEvidence()
 		o.opts.Log.Warn("order held back", "service", service, "target", s.order.Target, "signal", signal, "doubt", doubt,
-			"evidence", s.detector.Observed(), "order", s.order.Offset)
+			"evidence", s.detector.Observed(), "reference", s.evidence.Pooled(controlArm).Sum(), "order", s.order.Offset)
 	}
 	return p, s.detector.Observed(), ok
 }
