--- a/internal/kcload/kcload.go
+++ b/internal/kcload/kcload.go
@@ -47,6 +47,8 @@
 }
 
 const (
+	// messageFormat is the first byte of a load report. Reports of format 1 do not
+	// tell when upstreams were heard, and are refused.
 	messageFormat = 4
 	// MaxMessageBytes bounds a message so that it fits into one packet of an
 	// Ethernet link.
