kcgate: Log how far interrupted responses got and the parts of their prompts

Change: an interrupted attempt names its progress (noHeader, headerOnly, bodyStarted). A request that was interrupted before its body logs the hashes of the parts of its prompt.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -191,6 +191,7 @@
 	if err != nil {
 		return x.handleSendError(ctx, c, err, finish)
 	}
+	x.attempts[last].progress = headerOnly
 	x.g.Upstreams.markAnswerStarted(c)
 	head := x.g.Codec.DecodeResponse(resp.Response)
 	if head.HasLoad {
--- a/internal/kcgate/attempt_log.go
+++ b/internal/kcgate/attempt_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -19,6 +20,21 @@
 	ran      execution = "ran"
 )
 
+// responseProgress is how far a response got.
+type responseProgress int
+
+// Values of responseProgress.
+const (
+	noHeader responseProgress = iota
+	headerOnly
+	bodyStarted
+)
+
+// String returns the name that is written to the request log.
+func (p responseProgress) String() string {
+	return [...]string{"noHeader", "headerOnly", "bodyStarted"}[p]
+}
+
 // attempt is one attempt at one upstream.
 type attempt struct {
 	upstream string
@@ -36,6 +52,18 @@
 	// confidence is the model's confidence in its answer, or -1 if it was not
 	// reported.
 	confidence int
+	// progress is how far the response of the attempt got.
+	progress responseProgress
+}
+
+// interrupted reports whether the upstream may have begun to run the request
+// without sending a complete response.
+func (a *attempt) interrupted() bool { return a.execution == maybeRan }
+
+// interruptedBeforeBody reports whether an attempt was interrupted before the
+// upstream sent any part of the body.
+func (s attemptLog) interruptedBeforeBody() bool {
+	return slices.ContainsFunc(s, func(a attempt) bool { return a.interrupted() && a.progress != bodyStarted })
 }
 
 // attemptLog holds all attempts of a request. The status of a failed request is
@@ -68,6 +96,9 @@
 		if x.confidence >= 0 {
 			fmt.Fprintf(&b, ",confidence=%d", x.confidence)
 		}
+		if x.interrupted() {
+			b.WriteString(",interrupted=" + x.progress.String())
+		}
 		if x.detail != "" {
 			b.WriteString("," + strings.ReplaceAll(x.detail, ";", ","))
 		}
--- a/internal/kcgate/report.go
+++ b/internal/kcgate/report.go
@@ -1,6 +1,12 @@
 package kcgate
 
-import "log/slog"
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // maxLoggedSessionBytes bounds the logged part of a session name, because callers
 // choose the name.
@@ -11,6 +17,22 @@
 	return session[:min(len(session), maxLoggedSessionBytes)]
 }
 
+// maxLoggedParts bounds the number of logged prompt parts of a request.
+const maxLoggedParts = 16
+
+// formatParts formats the hashes of prompt parts. The ids are hashed because
+// callers choose them.
+func formatParts(parts []PromptPart) string {
+	var b strings.Builder
+	for i, part := range parts[:min(len(parts), maxLoggedParts)] {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%016x", xxhash.Sum64String(part.ID))
+	}
+	return b.String()
+}
+
 // logRequest writes the log line of a request and updates the metrics.
 func (x *exchange) logRequest() {
 	took := x.g.Clock.Now() - x.receivedAt
@@ -45,5 +67,8 @@
 	if len(x.attempts) > 0 {
 		attrs = append(attrs, slog.String("sends", x.attempts.String()))
 	}
+	if len(x.meta.PromptParts) > 0 && x.attempts.interruptedBeforeBody() {
+		attrs = append(attrs, slog.String("parts", formatParts(x.meta.PromptParts)))
+	}
 	x.g.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "request", attrs...)
 }
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -152,7 +152,7 @@
 	ctx context.Context, c *pickedUpstream, resp *kcconn.Response, finish func(execution, string),
 ) attemptResult {
 	last := x.meta.LastEventID
-	interruption := x.relayEvents(ctx, c, resp, &last)
+	interruption := x.relayEvents(ctx, c, resp, &last, &x.attempts[len(x.attempts)-1])
 	switch {
 	case interruption == nil:
 		finish(ran, "events="+itoa(x.events))
@@ -177,8 +177,8 @@
 
 // relayEvents copies events until the stream ends. It returns nil for a complete
 // stream, and otherwise the cause of the interruption. last is the id of the last
-// event that was forwarded.
-func (x *exchange) relayEvents(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last *int64) error {
+// event that was forwarded, and a the attempt.
+func (x *exchange) relayEvents(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last *int64, a *attempt) error {
 	rd := newEventReader(resp.Body)
 	readTimeout := x.stallTimeout(c)
 	firstEventAt := kcclock.Millis(0)
@@ -196,7 +196,7 @@
 			x.startStream(resp)
 			if x.events >= minPauseEvents {
 				pause := float64(x.g.Clock.Now()-firstEventAt) / float64(x.events)
-				x.classifyLatency(c, "pause/"+x.attempts[len(x.attempts)-1].model, pause, engineSlowFactor)
+				x.classifyLatency(c, "pause/"+a.model, pause, engineSlowFactor)
 			}
 			return nil
 		}
@@ -214,6 +214,7 @@
 		x.startStream(resp)
 		if x.events++; x.events == 1 {
 			firstEventAt = x.g.Clock.Now()
+			a.progress = bodyStarted
 		}
 		if err := x.writeEvent(ev.raw); err != nil {
 			resp.Abort()
@@ -298,6 +299,7 @@
 		x.releaseInterrupted(ctx, c)
 		return false
 	}
+	s.progress = headerOnly
 	head := x.g.Codec.DecodeResponse(resp.Response)
 	if head.NotRun || resp.StatusCode != http.StatusOK || !isApplicationResponse(resp, head) {
 		resp.Abort()
@@ -308,7 +310,7 @@
 		x.g.Upstreams.release(c, outcomeNeutral)
 		return false
 	}
-	if err := x.relayEvents(ctx, c, resp, last); err != nil {
+	if err := x.relayEvents(ctx, c, resp, last, &s); err != nil {
 		s.detail = err.Error()
 		if errors.Is(err, errCallerGone) {
 			x.g.Upstreams.release(c, outcomeNeutral)
