kcgate: Test streams that end with their connection inside an event

The test passes on the current code; it fails if eventReader takes an end inside an event for the end of the stream.

--- a/internal/kcgate/unterminated_test.go
+++ b/internal/kcgate/unterminated_test.go
@@ -1,6 +1,7 @@
 package kcgate_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -105,3 +106,20 @@
 		}
 	}
 }
+
+// Guards against a stream that is taken for complete because its upstream ends
+// it with the connection, inside an event.
+func TestStreamWithoutFramingThatEndsInsideAnEventIsNotComplete(t *testing.T) {
+	for _, last := range []string{"", "id: 2\nda", "id: 2\ndata: e2\n"} {
+		e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+			_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nRequest-Id: "+req.Header.Get("Request-Id")+
+				"\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n"+event(1)+last)
+			return err != nil
+		})
+		f := newFixture(t, []kctable.Route{route("a", kctable.Streaming)}, e)
+		resp, body, err := f.request(t, "/a/x")
+		if complete := err == nil; complete != (last == "") {
+			t.Errorf("end %q: %v %q complete=%v", last, resp, body, complete)
+		}
+	}
+}
