--- /dev/null
+++ b/internal/kcgate/crashing_part_test.go
@@ -0,0 +1,74 @@
+package kcgate_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+const deadlyPart = "deadly"
+
+// newCrashingEngine returns an engine that ends when it begins to answer a
+// prompt with the deadly part.
+func newCrashingEngine(t *testing.T) *engine {
+	t.Helper()
+	var e *engine
+	e = newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		if strings.Contains(req.Header.Get("Prefix-Hash"), deadlyPart) {
+			stream(w, req, "")
+			_ = e.ln.Close()
+			return false
+		}
+		return stream(w, req, "", event(1)) && write(w, lastChunk)
+	})
+	return e
+}
+
+// prompt returns the headers of a request whose prompt has a middle part and a
+// last part of its own.
+func promptHeader(middle string, n int) []string {
+	return []string{
+		"Model", "m", "Token-Count", "300,10", "Prefix-Hash", "first:100," + middle + ":100,last" + middle + itoa(n) + ":100",
+		"Request-Id", middle + itoa(n),
+	}
+}
+
+// Guards against a prompt that crashes one upstream after the other.
+func TestPartThatCrashesUpstreamsIsNotSentOn(t *testing.T) {
+	const upstreams, requests = 8, 10
+	var engines []*engine
+	for range upstreams {
+		engines = append(engines, newCrashingEngine(t))
+	}
+	r := route("a", kctable.Streaming)
+	r.LatencyObjectiveMs = kcclock.Second
+	f := newFixture(t, []kctable.Route{r}, engines...)
+	for n := range requests {
+		if resp, _, err := f.request(t, "/a/x", promptHeader("sound", n)...); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("sound request %d: %v, %v", n, resp, err)
+		}
+		resp, body, err := f.request(t, "/a/x", promptHeader(deadlyPart, n)...)
+		if err != nil || resp.StatusCode < http.StatusInternalServerError {
+			t.Errorf("request %d with the deadly part: %v %q, %v: want an error", n, resp, body, err)
+		} else if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+			t.Errorf("request %d is rejected without a time to come back", n)
+		}
+		f.clock.Advance(2 * kcclock.Second)
+	}
+	sent := 0
+	for _, e := range engines {
+		for _, req := range e.requests() {
+			if strings.Contains(req.Header.Get("Prefix-Hash"), deadlyPart) {
+				sent++
+			}
+		}
+	}
+	// Three crashes give evidence enough.
+	if sent > 3 {
+		t.Errorf("%d requests with the deadly part reached upstreams, want 3 at most", sent)
+	}
+}
