kcquarantine: Keep prompts away from upstreams that they would crash

What callers saw: with one request in twenty of a class at fault, half of all requests were served.

Cause: a crash counted as the failure of an upstream only. The request went on to the next one, up to the limit of its route, and nothing connected it with the requests that came after it: the class of fault is a retry that takes the cause along.

Evidence: with the progress of interrupted attempts in the log, the attempts that end after the header and before the body share two parts of their prompts, and no request with these is answered.

Change: a crash blames the shared parts of the prompts that its upstream was about to answer, unless they were answered lately. A blamed part goes out on trial, one request at a time in the deployment and to one upstream. Instances tell each other by datagrams what they see, and keep blocked parts in the store for those that start later. A part that was only seen beside a worse one, or in requests of another workspace, gets a trial of its own.

Why it works: blame needs a failed experiment with one request; what crashed upstreams shared by chance is answered in its trial.

--- a/internal/kcconn/pool.go
+++ b/internal/kcconn/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -115,6 +116,18 @@
 	return newConn(nc, addr), nil
 }
 
+// Refuses reports whether no server listens at addr. A connection that is accepted
+// is kept for the next request.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.putIdle(c)
+	c.reused = false
+	return false
+}
+
 // putIdle adds a connection to the pool, or closes it if it has unread data or
 // the pool is full.
 func (p *Pool) putIdle(c *conn) {
--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -85,6 +85,10 @@
 			instances = append(instances, r)
 			continue
 		}
+		if part, ok := kcplatform.BlockedPart(r.Key); ok {
+			e.quarantine.apply(part, r)
+			continue
+		}
 		if len(r.Value) == 0 || !kcplatform.IsRolloutOrder(r.Key) {
 			continue
 		}
--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -121,6 +121,7 @@
 	progressFollower *kcfeed.Follower
 	peers            *peers
 	rollouts         *rolloutController
+	quarantine       *quarantineStore
 }
 
 // New returns an instance that is not started yet.
@@ -138,6 +139,7 @@
 	})
 	e.store = &kcplatform.Store{Pool: e.storePool, Addr: opts.Deployment.StoreAddr, OnCall: e.countStoreCall}
 	e.peers = newPeers(e)
+	e.quarantine = newQuarantineStore(e)
 	outage := &kcfeed.OutageCoordinator{Clock: clock, ProbesFirst: e.peers.probesFirst}
 	maxAges := newPeerMaxAges(opts.Deployment.Bounds)
 	follow := func(
@@ -162,6 +164,7 @@
 	e.gate = kcgate.New(kcgate.Options{
 		Deployment: opts.Deployment, Codec: kcplatform.Codec{}, Pool: e.upstreamPool, Clock: clock, WallClock: kcclock.System{},
 		Log: opts.Log, Metrics: e.metrics, ConfigAge: e.configFollower.Age, RolloutStateAge: e.progressFollower.Age,
+		OnPartBlocked: e.quarantine.blocked, OnPartCleared: e.quarantine.cleared, OnTrial: e.peers.wake,
 	})
 	e.rollouts = newRolloutController(e, clock)
 	return e
@@ -216,6 +219,7 @@
 		{"upstreams", e.upstreamFollower.Run},
 		{"progress", e.progressFollower.Run},
 		{"orders", e.rollouts.run},
+		{"quarantine", e.quarantine.run},
 		{"tell", e.peers.sendReports},
 		{"hear", e.peers.receive},
 		{"sweep", e.sweepIdle},
--- a/internal/kcedge/edge_test.go
+++ b/internal/kcedge/edge_test.go
@@ -91,13 +91,21 @@
 
 func (p *testInstance) get(t *testing.T, addr, path, key string, header ...string) (int, string) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+addr+path, nil)
+	return p.do(t, http.MethodGet, "http://"+addr+path, "", append([]string{"Request-Id", "q", "Api-Key", key}, header...)...)
+}
+
+func (p *testInstance) post(t *testing.T, path, body string, header ...string) (int, string) {
+	t.Helper()
+	return p.do(t, http.MethodPost, "http://"+p.callerAddr+path, body, append([]string{"Api-Key", "k1"}, header...)...)
+}
+
+func (p *testInstance) do(t *testing.T, method, url, content string, header ...string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(content))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("Request-Id", "q")
-	req.Header.Set("Api-Key", key)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -73,6 +73,9 @@
 	edge    *Edge
 	ownID   instanceID
 	udpConn *net.UDPConn
+	// urgent gets a value when there is something to send that must not wait for
+	// the next report.
+	urgent chan struct{}
 	// listener accepts reads and evidence of peers in the same availability zone.
 	listener net.Listener
 
@@ -99,7 +102,15 @@
 	return &peers{
 		edge: e, ownID: newInstanceID(e.Deployment.Instance, e.Deployment.Zone, e.Deployment.Region),
 		sameRegion: make(map[string]peerEntry), otherRegions: make(map[string]peerEntry),
-		heardAt: make(map[string]kcclock.Millis),
+		heardAt: make(map[string]kcclock.Millis), urgent: make(chan struct{}, 1),
+	}
+}
+
+// wake sends what is pending at once.
+func (p *peers) wake() {
+	select {
+	case p.urgent <- struct{}{}:
+	default:
 	}
 }
 
--- /dev/null
+++ b/internal/kcedge/quarantine.go
@@ -0,0 +1,161 @@
+package kcedge
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
+	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+	kcplatform "github.com/kingcuprail/kingcuprail/platform"
+)
+
+const (
+	// maxStoredBlocks bounds the records that wait to be written.
+	maxStoredBlocks = 32
+	// blockWriteRetryMs is the time until a record that could not be written is
+	// written again.
+	blockWriteRetryMs = 2 * kcclock.Second
+)
+
+// sendQuarantine tells the peers of all regions what this instance knows about
+// crashing prompt parts.
+func (p *peers) sendQuarantine(now kcclock.Millis) {
+	r, ok := p.edge.gate.Quarantine.Outgoing()
+	if !ok {
+		return
+	}
+	to := p.allRegions()
+	for _, raw := range kcload.EncodeQuarantineReport(r, now) {
+		p.edge.metrics.Count("peers.quarantineTold")
+		p.send(raw, to)
+	}
+}
+
+// quarantineStore keeps the blocked prompt parts in the store, for instances that
+// start later. The instance that sees the last crash or the answer writes.
+type quarantineStore struct {
+	edge *Edge
+
+	mu sync.Mutex
+	// toWrite holds the blocks to write, nil for those to delete.
+	toWrite map[kcquarantine.Part]*kcquarantine.Block
+	wake    chan struct{}
+}
+
+func newQuarantineStore(e *Edge) *quarantineStore {
+	return &quarantineStore{edge: e, toWrite: make(map[kcquarantine.Part]*kcquarantine.Block), wake: make(chan struct{}, 1)}
+}
+
+func (s *quarantineStore) blocked(b kcquarantine.Block) {
+	s.edge.metrics.Count("quarantine.blocked")
+	s.edge.Log.Warn("prompt part blocked", "part", b.Part, "crashes", b.Failures, "nextTrialMs", b.NextTrialAt-kcclock.Boot{}.Now(),
+		"evidence", b)
+	s.enqueue(b.Part, &b)
+}
+
+func (s *quarantineStore) cleared(p kcquarantine.Part) {
+	s.edge.metrics.Count("quarantine.cleared")
+	s.edge.Log.Info("prompt part cleared", "part", p)
+	s.enqueue(p, nil)
+}
+
+func (s *quarantineStore) enqueue(p kcquarantine.Part, b *kcquarantine.Block) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.toWrite[p]; !known && len(s.toWrite) >= maxStoredBlocks {
+		s.edge.metrics.Count("quarantine.notStored")
+		return
+	}
+	s.toWrite[p] = b
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run writes the records. One that cannot be written is written later.
+func (s *quarantineStore) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+		for !s.writeAll(ctx) {
+			if kcclock.Wait(ctx, kcclock.Boot{}, blockWriteRetryMs) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *quarantineStore) writeAll(ctx context.Context) bool {
+	for {
+		part, b, ok := s.next()
+		if !ok {
+			return true
+		}
+		if !s.write(ctx, part, b) {
+			return false
+		}
+		s.mu.Lock()
+		if s.toWrite[part] == b {
+			delete(s.toWrite, part)
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *quarantineStore) next() (kcquarantine.Part, *kcquarantine.Block, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for part, b := range s.toWrite {
+		return part, b, true
+	}
+	return 0, nil, false
+}
+
+func (s *quarantineStore) write(ctx context.Context, part kcquarantine.Part, b *kcquarantine.Block) bool {
+	var raw []byte
+	if b != nil {
+		var err error
+		if raw, err = json.Marshal(b.Shifted(kcclock.System{}.Now() - kcclock.Boot{}.Now())); err != nil {
+			s.edge.Log.Error("cannot encode blocked prompt part", "part", part, "error", err)
+			return true
+		}
+	}
+	ctx, cancel := kcclock.WithTimeout(ctx, kcclock.Boot{}, storeCallTimeoutMs)
+	defer cancel()
+	err := s.edge.store.SetKey(ctx, kcplatform.TopicStatus, kcplatform.BlockKey(part.String()), raw)
+	if err != nil {
+		s.edge.Log.Warn("call of the store failed", "call", "write blocked prompt part", "part", part, "error", err)
+	}
+	return err == nil
+}
+
+// apply applies the record of a blocked part. A deleted record lifts the block.
+func (s *quarantineStore) apply(key string, r kcfeed.Record) {
+	part, err := kcquarantine.ParsePart(key)
+	if err != nil {
+		s.edge.Log.Warn("cannot decode blocked prompt part; ignoring it", "key", r.Key, "offset", r.Offset, "error", err)
+		return
+	}
+	if len(r.Value) == 0 {
+		s.edge.gate.Quarantine.Lift(part)
+		s.edge.Log.Info("block of a prompt part lifted", "part", part, "offset", r.Offset)
+		return
+	}
+	var b kcquarantine.Block
+	if err := json.Unmarshal(r.Value, &b); err != nil {
+		s.edge.Log.Warn("cannot decode blocked prompt part; ignoring it", "part", part, "offset", r.Offset, "error", err)
+		return
+	}
+	b = b.Shifted(kcclock.Boot{}.Now() - kcclock.System{}.Now())
+	if s.edge.gate.Quarantine.Restore(b) {
+		s.edge.Log.Info("blocked prompt part read", "part", part, "crashes", b.Failures, "offset", r.Offset,
+			"nextTrialMs", b.NextTrialAt-kcclock.Boot{}.Now())
+	}
+}
--- a/internal/kcedge/reports.go
+++ b/internal/kcedge/reports.go
@@ -48,9 +48,10 @@
 	var last kcload.Message
 	lastSentAt, regionSentAt := kcclock.Millis(0), kcclock.Millis(0)
 	var sessions sessionReporter
-	for kcclock.Wait(ctx, clock, minZoneReportIntervalMs) == nil {
+	for p.awaitReport(ctx, clock) {
 		now := clock.Now()
 		sessions.report(p, now)
+		p.sendQuarantine(now)
 		near, far := p.ownRegion()
 		if now-lastSentAt < reportInterval(len(near), maxZoneReportsPerSecond, minZoneReportIntervalMs) {
 			continue
@@ -74,6 +75,19 @@
 	}
 }
 
+// awaitReport waits until the next report or urgent message is due. It returns
+// false once ctx has ended.
+func (p *peers) awaitReport(ctx context.Context, clock kcclock.Clock) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-p.urgent:
+		p.sendQuarantine(clock.Now())
+	case <-clock.After(minZoneReportIntervalMs):
+	}
+	return true
+}
+
 // reportInterval returns the time between load reports to a number of peers, so
 // that an instance sends at most perSecond of them to all together.
 func reportInterval(peers, perSecond int, shortest kcclock.Millis) kcclock.Millis {
@@ -137,6 +151,13 @@
 		}
 		return err
 	}
+	if kcload.IsQuarantineReport(raw) {
+		r, err := kcload.DecodeQuarantineReport(raw, kcclock.Boot{}.Now())
+		if err == nil {
+			p.edge.gate.Quarantine.Merge(r)
+		}
+		return err
+	}
 	m, err := kcload.Decode(raw)
 	if err == nil {
 		p.recordHeartbeat(m)
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -72,6 +72,9 @@
 			x.fail(ctx, reasonTimeout, otherInstanceRetryMs)
 			return
 		}
+		if !x.awaitQuarantine(ctx, &model) {
+			return
+		}
 		c, ok := x.pickUpstream(tried, model)
 		if !ok {
 			x.failNoUpstream(ctx, anyFull)
@@ -82,7 +85,7 @@
 		case resultAnswered:
 			return
 		case resultEscalate:
-			model = x.route.Models[len(x.route.Models)-1]
+			model = x.lastModel(model)
 			tried.Remove(c.ID)
 		case resultRetry:
 			anyFull = anyFull || x.attempts[len(x.attempts)-1].execution == notRun
@@ -91,7 +94,8 @@
 				return
 			}
 		case resultNoAnswer:
-			if !x.mayRetry() || !x.takeRetry() {
+			x.recordCrash(ctx, c)
+			if x.quarantine.onTrial || !x.mayRetry() || !x.takeRetry() {
 				x.fail(ctx, reasonUnknownExecution, 0)
 				return
 			}
--- a/internal/kcgate/cascade.go
+++ b/internal/kcgate/cascade.go
@@ -53,6 +53,14 @@
 	return x.route.Models[0]
 }
 
+// lastModel returns the largest model if the route chooses, and model otherwise.
+func (x *exchange) lastModel(model string) string {
+	if x.meta.Model != AnyModel || len(x.route.Models) == 0 {
+		return model
+	}
+	return x.route.Models[len(x.route.Models)-1]
+}
+
 // shouldEscalate reports whether a response is discarded in favor of one from the
 // largest model. No part of it has been sent to the caller yet.
 func (x *exchange) shouldEscalate(head ResponseMeta, model string) bool {
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
+	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -110,6 +111,13 @@
 	// RolloutStateAge returns the age of the rollout states, and false if there
 	// are none.
 	RolloutStateAge func(now kcclock.Millis) (kcclock.Millis, bool)
+	// OnPartBlocked and OnPartCleared, if set, are called when this instance has
+	// seen why a prompt part is blocked, or no longer is. They must not block.
+	OnPartBlocked func(kcquarantine.Block)
+	OnPartCleared func(kcquarantine.Part)
+	// OnTrial, if set, is called when a request goes out on trial. It must not
+	// block.
+	OnTrial func()
 }
 
 // Gateway is the HTTP handler for requests of callers.
@@ -122,6 +130,8 @@
 	drain       drainState
 	firstEvents *firstEventEstimator
 	latencies   *latencyStats
+	// Quarantine holds the prompt parts under which upstreams have crashed.
+	Quarantine *kcquarantine.Tracker
 
 	mu           sync.Mutex
 	retryWindows map[string]*kcretry.WindowBudget
@@ -131,12 +141,16 @@
 func New(opts Options) *Gateway {
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
 	return &Gateway{
-		Options:      opts,
-		Upstreams:    upstreams,
-		startup:      startupState{startedAt: opts.Clock.Now(), table: make(chan struct{}), upstreams: upstreams.loaded},
-		Rollouts:     NewRollouts(opts),
-		firstEvents:  newFirstEventEstimator(),
-		latencies:    newLatencyStats(),
+		Options:     opts,
+		Upstreams:   upstreams,
+		startup:     startupState{startedAt: opts.Clock.Now(), table: make(chan struct{}), upstreams: upstreams.loaded},
+		Rollouts:    NewRollouts(opts),
+		firstEvents: newFirstEventEstimator(),
+		latencies:   newLatencyStats(),
+		Quarantine: kcquarantine.New(kcquarantine.Options{
+			Clock: opts.Clock, Instance: opts.Deployment.Instance, OnBlocked: opts.OnPartBlocked, OnCleared: opts.OnPartCleared,
+			OnTrial: opts.OnTrial,
+		}),
 		retryWindows: make(map[string]*kcretry.WindowBudget),
 	}
 }
--- a/internal/kcgate/harness_test.go
+++ b/internal/kcgate/harness_test.go
@@ -191,6 +191,7 @@
 		})
 	}
 	f.gate.Upstreams.Replace(ups, false)
+	f.gate.Rollouts.MarkStatesLoaded()
 	f.host = "h.example"
 	f.serve(t, f.gate)
 	return f
--- /dev/null
+++ b/internal/kcgate/quarantine.go
@@ -0,0 +1,141 @@
+package kcgate
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+const (
+	// quarantineWaitShare is the share of the latency objective for which a
+	// request waits until it may be on trial. What is left is enough for an answer
+	// in time.
+	quarantineWaitShare = 0.25
+	// minQuarantineRetryMs is the shortest time after which the caller of a
+	// suspected request is told to return.
+	minQuarantineRetryMs = 2 * kcclock.Second
+)
+
+// quarantineState tells how a request stands to crashes of upstreams.
+type quarantineState struct {
+	// parts are the parts of the prompt that other requests may share.
+	parts     []kcquarantine.Part
+	workspace uint64
+	// waitLeftMs is how long the request may still wait for its trial.
+	waitLeftMs kcclock.Millis
+	// onTrial is true while the request runs on trial.
+	onTrial bool
+	// answered is true once an upstream has begun to answer.
+	answered bool
+}
+
+// initQuarantine sets the shared parts of the prompt. An instance that has just
+// started waits for the blocks that others have found.
+func (x *exchange) initQuarantine(ctx context.Context) {
+	if len(x.meta.PromptParts) < 2 {
+		return
+	}
+	ids := make([]string, len(x.meta.PromptParts))
+	for i, part := range x.meta.PromptParts {
+		ids[i] = part.ID
+	}
+	x.quarantine.parts = kcquarantine.SharedParts(ids)
+	x.quarantine.workspace = xxhash.Sum64String(x.workspace)
+	g := x.g
+	awaitUntil(ctx, g.Clock, g.Rollouts.statesLoaded, g.startup.startedAt+startupWaitMs)
+	x.quarantine.waitLeftMs = kcclock.Millis(quarantineWaitShare * float64(x.route.LatencyObjectiveMs))
+}
+
+// awaitQuarantine waits until the request may be sent, as far as crashes of
+// upstreams are concerned. If it returns false, the request has been rejected. A
+// trial runs on the largest model: the answer of a small one may be dropped for
+// what its header says, before the upstream crashes.
+func (x *exchange) awaitQuarantine(ctx context.Context, model *string) bool {
+	q := &x.quarantine
+	if len(q.parts) == 0 || q.onTrial || q.answered {
+		return true
+	}
+	for {
+		d := x.g.Quarantine.Admit(q.parts, q.workspace)
+		switch {
+		case d.Action == kcquarantine.Send:
+			return true
+		case d.Action == kcquarantine.Trial:
+			q.onTrial = true
+			*model = x.lastModel(*model)
+			x.logQuarantine(d, "trial")
+			return true
+		case d.Action == kcquarantine.Reject || d.WaitMs > min(q.waitLeftMs, x.remaining()/2) || ctx.Err() != nil:
+			x.logQuarantine(d, "reject")
+			x.fail(ctx, reasonQuarantined, max(d.WaitMs, minQuarantineRetryMs))
+			return false
+		}
+		waitStart := x.g.Clock.Now()
+		select {
+		case <-d.Changed:
+		case <-x.g.Clock.After(d.WaitMs):
+		case <-ctx.Done():
+		}
+		q.waitLeftMs -= x.g.Clock.Now() - waitStart
+	}
+}
+
+func (x *exchange) logQuarantine(d kcquarantine.Decision, outcome string) {
+	x.g.Metrics.Count("quarantine." + outcome)
+	x.g.Log.Info("quarantine", "request", x.meta.ID, "workspace", x.workspace, "part", d.Part, "crashes", d.Failures,
+		"nextTrialMs", d.WaitMs, "outcome", outcome)
+}
+
+// recordAnswerStart records that an upstream has begun to answer the request.
+func (x *exchange) recordAnswerStart() {
+	q := &x.quarantine
+	if len(q.parts) == 0 || q.answered {
+		return
+	}
+	q.answered, q.onTrial = true, false
+	x.g.Quarantine.Answered(q.parts)
+}
+
+// endTrial ends a trial that showed nothing.
+func (x *exchange) endTrial() {
+	if x.quarantine.onTrial {
+		x.g.Quarantine.EndTrial(x.quarantine.parts)
+	}
+}
+
+// recordCrash blames the request if its last attempt has ended because the
+// upstream crashed before it sent any of the body. An upstream that still accepts
+// connections has not crashed.
+func (x *exchange) recordCrash(ctx context.Context, c *pickedUpstream) {
+	q, a := &x.quarantine, &x.attempts[len(x.attempts)-1]
+	if len(q.parts) == 0 || q.answered || ctx.Err() != nil || a.progress == bodyStarted {
+		return
+	}
+	phase := kcquarantine.Reading
+	if a.progress == headerOnly {
+		phase = kcquarantine.Answering
+	} else if !q.onTrial && x.g.Quarantine.Proven(q.parts) {
+		return
+	}
+	if !x.g.Pool.Refuses(ctx, c.Address) {
+		return
+	}
+	now := x.g.Clock.Now()
+	x.g.Metrics.Count("quarantine.crash")
+	x.g.Log.LogAttrs(ctx, slog.LevelWarn, "upstream crashed under a request", slog.String("request", x.meta.ID),
+		slog.String("workspace", x.workspace), slog.String("upstream", c.ID), slog.String("phase", a.progress.String()),
+		slog.Bool("trial", q.onTrial), slog.String("parts", formatParts(x.meta.PromptParts)))
+	x.g.Quarantine.Crashed(kcquarantine.Evidence{
+		Crash: crashID(c.Upstream), Upstream: c.ID, Request: x.meta.ID, Workspace: q.workspace, At: now, Phase: phase, Parts: q.parts,
+	})
+}
+
+// crashID identifies the crash of an upstream process.
+func crashID(u kctable.Upstream) uint64 {
+	return xxhash.Sum64String(u.ID + "\n" + itoa(int(u.StartedAtMs)))
+}
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -47,6 +47,7 @@
 			return resultRetry
 		}
 	} else {
+		x.recordAnswerStart()
 		took := x.g.Clock.Now() - x.attempts[len(x.attempts)-1].startedAt
 		x.classifyLatency(c, "answer/"+x.route.Name, float64(took), unarySlowFactor)
 		x.g.Upstreams.release(c, outcomeGood)
@@ -215,6 +216,7 @@
 		if x.events++; x.events == 1 {
 			firstEventAt = x.g.Clock.Now()
 			a.progress = bodyStarted
+			x.recordAnswerStart()
 		}
 		if err := x.writeEvent(ev.raw); err != nil {
 			resp.Abort()
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -32,6 +32,7 @@
 	reasonCallerLeft        = "callerLeft"
 	reasonTruncated         = "cutOff"
 	reasonTimeoutBeforeSend = "timeoutBeforeSend"
+	reasonQuarantined       = "quarantined"
 )
 
 // Retry delays proposed to callers, and limits of time and size.
@@ -80,6 +81,8 @@
 	// configAge is the age of the configuration at admission.
 	configAge kcclock.Millis
 	attempts  attemptLog
+	// quarantine is the state of the request if its prompt has shared parts.
+	quarantine quarantineState
 	// decision tells how the version of the last picked upstream was chosen.
 	decision versionDecision
 	// sessionPinned is true once the session is pinned to a version.
@@ -225,6 +228,8 @@
 			x.g.Rollouts.finishRequest(x.session())
 		}
 	}()
+	x.initQuarantine(ctx)
+	defer x.endTrial()
 	x.sendUntilAnswered(ctx)
 }
 
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -8,6 +8,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
 // Guards against loads that are altered by encoding and decoding.
@@ -79,6 +81,62 @@
 	})
 }
 
+// Guards against evidence on prompt parts that is lost or altered by encoding and
+// decoding, and against a message that is larger than a packet.
+func TestQuarantineReportRoundTrip(t *testing.T) {
+	const now = 10_000_000
+	rapid.Check(t, func(t *rapid.T) {
+		age := func() kcclock.Millis { return kcclock.Millis(rapid.IntRange(0, 1_000_000).Draw(t, "age")) }
+		part := rapid.Custom(func(t *rapid.T) kcquarantine.Part { return kcquarantine.Part(rapid.Uint64().Draw(t, "part")) })
+		want := kcquarantine.Report{Instance: rapid.StringN(1, 20, 60).Draw(t, "name")}
+		for range rapid.IntRange(0, 40).Draw(t, "evidence") {
+			want.Evidence = append(want.Evidence, kcquarantine.Evidence{
+				Crash: rapid.Uint64().Draw(t, "crash"), Upstream: rapid.StringN(0, 12, 24).Draw(t, "upstream"),
+				Workspace: rapid.Uint64().Draw(t, "workspace"), At: now - age(),
+				Phase: kcquarantine.Phase(rapid.IntRange(0, 1).Draw(t, "phase")), Parts: rapid.SliceOfN(part, 1, 16).Draw(t, "parts"),
+			})
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "answers") {
+			want.Answers = append(want.Answers, kcquarantine.Answer{Part: part.Draw(t, "answered"), At: now - age()})
+			want.Trials = append(want.Trials, kcquarantine.TrialState{Part: part.Draw(t, "on trial"), Until: now + 1 + age()})
+		}
+		got := kcquarantine.Report{Instance: want.Instance}
+		for _, raw := range kcload.EncodeQuarantineReport(want, now) {
+			r, err := kcload.DecodeQuarantineReport(raw, now)
+			if err != nil || len(raw) > kcload.MaxMessageBytes || !kcload.IsQuarantineReport(raw) || r.Instance != want.Instance {
+				t.Fatalf("%d bytes, %+v, %v", len(raw), r, err)
+			}
+			got.Evidence, got.Answers = append(got.Evidence, r.Evidence...), append(got.Answers, r.Answers...)
+			got.Trials = append(got.Trials, r.Trials...)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("%+v, want %+v", got, want)
+		}
+	})
+}
+
+func FuzzDecodeQuarantine(f *testing.F) {
+	for _, raw := range kcload.EncodeQuarantineReport(kcquarantine.Report{
+		Instance: "i", Evidence: []kcquarantine.Evidence{{Crash: 1, Parts: []kcquarantine.Part{2}}},
+	}, 5) {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if !kcload.IsQuarantineReport(b) {
+			return
+		}
+		r, err := kcload.DecodeQuarantineReport(b, 1000)
+		if err != nil {
+			return
+		}
+		for _, e := range r.Evidence {
+			if e.At > 1000 || len(e.Parts) > 32 {
+				t.Errorf("%+v", e)
+			}
+		}
+	})
+}
+
 func FuzzDecodeSessions(f *testing.F) {
 	m := kcload.SessionReport{Instance: "i", OrderOffset: 1, Sessions: []kcload.Session{{Hash: 7, AgeMs: 3}}}
 	for _, raw := range kcload.EncodeSessionReport(m) {
--- /dev/null
+++ b/internal/kcquarantine/admit.go
@@ -0,0 +1,170 @@
+package kcquarantine
+
+import (
+	"math"
+	"slices"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcset"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// Action tells what to do with a request.
+type Action int
+
+const (
+	// Send means that no part of the request is suspected.
+	Send Action = iota
+	// Trial means that the request may be sent to one upstream. The caller must
+	// call EndTrial, Answered or Crashed.
+	Trial
+	// Wait means that the request may be on trial later.
+	Wait
+	// Reject means that a part of the request is blocked.
+	Reject
+)
+
+// String returns the name that is written to logs.
+func (a Action) String() string { return [...]string{"send", "trial", "wait", "reject"}[a] }
+
+// Decision is the answer to a request.
+type Decision struct {
+	Action Action
+	// Part is the part that the decision is about, Failures the number of crashes
+	// in a row that speak against it.
+	Part     Part
+	Failures int
+	// WaitMs is the time until the next trial.
+	WaitMs kcclock.Millis
+	// Changed is closed when the decision may have changed.
+	Changed <-chan struct{}
+}
+
+// Admit decides whether a request with these parts may be sent. It answers few
+// requests that crash their upstreams among many that do not, with evidence that
+// is some ten milliseconds old.
+func (t *Tracker) Admit(parts []Part, workspace uint64) Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var d Decision
+	if len(t.suspects) == 0 {
+		return d
+	}
+	now, request := t.opts.Clock.Now(), kcset.New(parts...)
+	for _, p := range parts {
+		n, at := t.nextTrial(p, workspace, request)
+		if n == 0 {
+			continue
+		}
+		s := t.suspects[p]
+		if s.trialUntil > now {
+			at = max(at, s.trialUntil)
+		}
+		if wait := max(at-now, 0); d.Failures == 0 || wait > d.WaitMs {
+			d.Part, d.Failures, d.WaitMs = p, n, wait
+		}
+	}
+	switch {
+	case d.Failures == 0:
+		return d
+	case d.WaitMs == 0:
+		d.Action = Trial
+		t.startTrial(parts, now)
+	case d.Failures >= blockAfter:
+		d.Action = Reject
+	default:
+		d.Action = Wait
+	}
+	d.Changed = t.changed
+	return d
+}
+
+// nextTrial returns the number of crashes that speak against a part of a request
+// and the time from which the request may be on trial. The number is 0 if the
+// part is not suspected.
+func (t *Tracker) nextTrial(p Part, workspace uint64, request kcset.Set[Part]) (failures int, at kcclock.Millis) {
+	n := t.failures(p)
+	if n == 0 {
+		return 0, 0
+	}
+	explained, more := t.explainedElsewhere(p, request)
+	if more {
+		return 0, 0
+	}
+	list := t.counted(p)
+	last := list[len(list)-1]
+	if n >= blockAfter && (explained || ofOneOtherWorkspace(list, workspace)) {
+		// The part was never seen without a worse one, or never in a request of
+		// this workspace.
+		n = 1
+	}
+	return n, last.at + t.trialDelay(p, n)
+}
+
+// ofOneOtherWorkspace reports whether all crashes came from requests of one
+// workspace that is not this one.
+func ofOneOtherWorkspace(list []partCrash, workspace uint64) bool {
+	return !slices.ContainsFunc(list, func(pc partCrash) bool {
+		return pc.workspace == workspace || pc.workspace != list[0].workspace
+	})
+}
+
+// trialDelay returns the time between the last crash of a part and its next trial
+// at this instance. It differs between instances, so that one of them is first and
+// the others hear of its trial.
+func (t *Tracker) trialDelay(p Part, failures int) kcclock.Millis {
+	var delay kcclock.Millis
+	switch {
+	case failures >= blockAfter:
+		delay = min(firstBlockMs<<min(failures-blockAfter, maxCrashesPerPart), maxBlockMs)
+	case t.onlyReading(p):
+		delay = readingTrialMs * kcclock.Millis(failures)
+	default:
+		delay = firstTrialMs * kcclock.Millis(failures)
+	}
+	fraction := float64(kcset.RendezvousHash(p.String(), t.opts.Instance)) / math.MaxUint64
+	return delay + kcclock.Millis(trialSpread*fraction*float64(delay))
+}
+
+// onlyReading reports whether all that speaks against a part are requests whose
+// answer had not begun.
+func (t *Tracker) onlyReading(p Part) bool {
+	return !slices.ContainsFunc(t.counted(p), func(pc partCrash) bool {
+		c := t.crashes[pc.id]
+		return c == nil || c.parts[p] == Answering
+	})
+}
+
+func (t *Tracker) startTrial(parts []Part, now kcclock.Millis) {
+	for _, p := range parts {
+		s := t.suspects[p]
+		if s == nil || t.failures(p) == 0 {
+			continue
+		}
+		s.trialBy, s.trialUntil = t.opts.Instance, now+trialMs
+		t.outbox.addTrial(p, s.trialUntil, now)
+	}
+	if t.opts.OnTrial != nil {
+		t.opts.OnTrial()
+	}
+}
+
+// EndTrial ends a trial that showed nothing: the request was not run, or its
+// caller left.
+func (t *Tracker) EndTrial(parts []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		t.endTrial(p)
+	}
+	t.notify()
+}
+
+// endTrial ends the trial of a part if it is one of this instance.
+func (t *Tracker) endTrial(p Part) {
+	s := t.suspects[p]
+	if s == nil || s.trialBy != t.opts.Instance {
+		return
+	}
+	t.outbox.addTrial(p, 0, t.opts.Clock.Now())
+	s.trialBy, s.trialUntil = "", 0
+}
