kcgate: Keep the limits that upstreams name, by few senders for each

Callers were not told.

Change: an upstream at its limit gets requests from a few instances only: one for each 2 a second, at least two, near ones first, by rendezvous hash among the live ones of its region. Each has an even part and a bucket of one request that starts empty. They compare that upstream for every request, so that its limit is used; the others leave it out at once, and what does not fit is rejected at once if there is no other one. What an upstream says is told to all instances within 25 ms and again every 500 ms. It ends with a response that names no limit, and with the process.

--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -290,6 +290,11 @@
 			p.otherRegions[r.Key] = entry
 		}
 	}
+	zones := make(map[string]string, len(p.sameRegion))
+	for name, entry := range p.sameRegion {
+		zones[name] = entry.Zone
+	}
+	p.edge.gate.Upstreams.SetPeerZones(zones)
 	p.edge.Log.Info("list of instances read", "instances", len(p.sameRegion), "otherRegions", len(p.otherRegions))
 }
 
--- a/internal/kcedge/reports.go
+++ b/internal/kcedge/reports.go
@@ -52,6 +52,7 @@
 		now := clock.Now()
 		sessions.report(p, now)
 		p.sendQuarantine(now)
+		p.sendLimits(now)
 		near, far := p.ownRegion()
 		if now-lastSentAt < reportInterval(len(near), maxZoneReportsPerSecond, minZoneReportIntervalMs) {
 			continue
@@ -88,6 +89,20 @@
 	return true
 }
 
+// sendLimits tells the peers of all regions what upstreams say about the requests
+// that they take.
+func (p *peers) sendLimits(now kcclock.Millis) {
+	r, ok := p.edge.gate.Upstreams.LimitReport()
+	if !ok {
+		return
+	}
+	to := p.allRegions()
+	for _, raw := range kcload.EncodeLimitReport(r, now) {
+		p.edge.metrics.Count("peers.limitsTold")
+		p.send(raw, to)
+	}
+}
+
 // reportInterval returns the time between load reports to a number of peers, so
 // that an instance sends at most perSecond of them to all together.
 func reportInterval(peers, perSecond int, shortest kcclock.Millis) kcclock.Millis {
@@ -158,6 +173,13 @@
 		}
 		return err
 	}
+	if kcload.IsLimitReport(raw) {
+		r, err := kcload.DecodeLimitReport(raw, kcclock.Boot{}.Now())
+		if err == nil {
+			p.edge.gate.Upstreams.MergeLimits(r)
+		}
+		return err
+	}
 	m, err := kcload.Decode(raw)
 	if err == nil {
 		p.recordHeartbeat(m)
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -198,6 +198,7 @@
 	x.attempts[last].progress = headerOnly
 	x.g.Upstreams.markAnswerStarted(c)
 	head := x.g.Codec.DecodeResponse(resp.Response)
+	x.g.Upstreams.recordLimit(c, head)
 	if head.HasLoad {
 		x.g.Upstreams.recordLoad(c, head.Load)
 	}
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -79,6 +79,10 @@
 	// Confidence is the model's confidence in its answer, from 0 to 100.
 	Confidence    int
 	HasConfidence bool
+	// LimitPerSecond is the number of requests a second that the upstream takes
+	// from all instances together. It is only set if HasLimit is.
+	LimitPerSecond float64
+	HasLimit       bool
 }
 
 // Codec translates between headers and their meaning.
@@ -140,6 +144,7 @@
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
+	upstreams.log, upstreams.instance = opts.Log, opts.Deployment.Instance
 	return &Gateway{
 		Options:     opts,
 		Upstreams:   upstreams,
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -28,8 +28,8 @@
 }
 
 // accepts reports whether an upstream may get the request.
-func (w *pickCriteria) accepts(u *upstream, now kcclock.Millis) bool {
-	return !u.Draining && w.allowsVersion(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now)
+func (l *Upstreams) accepts(w *pickCriteria, u *upstream, now kcclock.Millis) bool {
+	return !u.Draining && w.allowsVersion(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now) && l.mayUse(u, now)
 }
 
 // pickedUpstream is an upstream that is in use for a request. It must be
@@ -70,6 +70,7 @@
 	}
 	u := list[i]
 	u.breaker.Allow(now, 0)
+	l.takeLimit(u, now)
 	if u.inFlight == 0 {
 		u.lastActivityAt.Store(int64(now))
 	}
@@ -126,7 +127,7 @@
 	}
 	share := 1.0
 	for _, list := range all {
-		if i := slices.IndexFunc(list, func(u *upstream) bool { return w.accepts(u, now) }); i >= 0 {
+		if i := slices.IndexFunc(list, func(u *upstream) bool { return l.accepts(w, u, now) }); i >= 0 {
 			share = w.upstreamShare(list[i].Version)
 			break
 		}
@@ -137,7 +138,7 @@
 	var accepting []*upstream
 	for _, list := range all {
 		for _, u := range list {
-			if w.accepts(u, now) {
+			if l.accepts(w, u, now) {
 				accepting = append(accepting, u)
 			}
 		}
@@ -162,7 +163,7 @@
 	for _, list := range candidates[:inOtherRegion] {
 		for _, u := range list {
 			h := kcset.Mix(w.prompt.affinity ^ u.idHash)
-			if (best == nil || h > maxHash) && w.accepts(u, now) {
+			if (best == nil || h > maxHash) && l.accepts(w, u, now) {
 				best, maxHash = u, h
 			}
 		}
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -303,6 +303,7 @@
 	}
 	s.progress = headerOnly
 	head := x.g.Codec.DecodeResponse(resp.Response)
+	x.g.Upstreams.recordLimit(c, head)
 	if head.NotRun || resp.StatusCode != http.StatusOK || !isApplicationResponse(resp, head) {
 		resp.Abort()
 		s.detail = itoa(resp.StatusCode)
--- a/internal/kcgate/sample.go
+++ b/internal/kcgate/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -68,25 +69,26 @@
 // looks least busy in reports that are older than the picks of the others, and
 // queue there. The more picks are unseen, the fewer upstreams each compares.
 // Upstreams of each distance are sampled separately, so that most requests stay
-// near. home, if not nil, is always compared.
+// near. home, if not nil, and upstreams with a limit are always compared.
 func (l *Upstreams) sample(w *pickCriteria, candidates upstreamsByDistance, home *upstream, now kcclock.Millis) []*upstream {
 	share := 1.0
 	if unseen := l.unseenPicks(w.service, now); unseen > maxUnseenPicks {
 		share = maxUnseenPicks / unseen
 	}
-	var sampled []*upstream
-	if home != nil {
+	sampled := l.shared(w, candidates, now)
+	if home != nil && !slices.Contains(sampled, home) {
 		sampled = append(sampled, home)
 	}
+	always := len(sampled)
 	for _, list := range candidates {
 		wanted := max(int(math.Ceil(share*float64(len(list)))), minSample)
 		l.order = append(l.order[:0], list...)
 		for i := 0; i < len(l.order) && wanted > 0; i++ {
 			k := i + l.intN(len(l.order)-i)
 			l.order[i], l.order[k] = l.order[k], l.order[i]
-			if u := l.order[i]; w.accepts(u, now) {
+			if u := l.order[i]; l.accepts(w, u, now) {
 				wanted--
-				if u != home {
+				if !slices.Contains(sampled[:always], u) {
 					sampled = append(sampled, u)
 				}
 			}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -1,6 +1,7 @@
 package kcgate
 
 import (
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -76,6 +77,9 @@
 	failureShareAt kcclock.Millis
 	// interruptedAt is when a connection to the upstream was last interrupted.
 	interruptedAt kcclock.Millis
+	// limit is what the upstream says about the requests that it takes from all
+	// instances. It is nil if it has never named a limit.
+	limit *upstreamLimit
 	// missingSince is set for entries that lapsed during an outage of the store.
 	missingSince kcclock.Millis
 }
@@ -91,9 +95,12 @@
 
 // Upstreams holds the upstreams of all services.
 type Upstreams struct {
-	clock  kcclock.Clock
-	zone   string
-	region string
+	clock kcclock.Clock
+	// log and instance, the name of this instance, are set before use.
+	log      *slog.Logger
+	instance string
+	zone     string
+	region   string
 	// regions holds the region of each availability zone.
 	regions map[string]string
 
@@ -106,6 +113,10 @@
 	// loaded is closed once the list is read.
 	loaded    chan struct{}
 	peerLoads map[string]*peerLoad
+	// limited holds the upstreams that have named a limit. Some may have left.
+	limited []*upstream
+	// peerZones holds the availability zones of the other instances of the region.
+	peerZones map[string]string
 	// peersCheckedAt is the time of the last check for reports that have expired.
 	peersCheckedAt kcclock.Millis
 	// peerReportTimes is the sum of the times of the reports in peerLoads.
@@ -122,7 +133,8 @@
 // NewUpstreams returns an empty list for an instance in zone.
 func NewUpstreams(clock kcclock.Clock, zone string, regions map[string]string) *Upstreams {
 	return &Upstreams{
-		clock: clock, zone: zone, region: regions[zone], regions: regions, byID: make(map[string]*upstream),
+		clock: clock, log: slog.New(slog.DiscardHandler), zone: zone, region: regions[zone], regions: regions,
+		byID:   make(map[string]*upstream),
 		loaded: make(chan struct{}), intN: rand.IntN, peerLoads: make(map[string]*peerLoad),
 		pickRates: make(map[string]*pickRate), versionsOf: make(map[string]versionCounts),
 	}
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -115,6 +115,55 @@
 	})
 }
 
+// Guards against limits that are lost or altered by encoding and decoding, and
+// against a message that is larger than a packet.
+func TestLimitReportRoundTrip(t *testing.T) {
+	const now = 10_000_000
+	rapid.Check(t, func(t *rapid.T) {
+		want := kcload.LimitReport{Instance: rapid.StringN(1, 20, 60).Draw(t, "name")}
+		for range rapid.IntRange(0, 100).Draw(t, "limits") {
+			want.Limits = append(want.Limits, kcload.UpstreamLimit{
+				Upstream:  rapid.StringN(0, 12, 24).Draw(t, "upstream"),
+				PerSecond: rapid.Float64Range(-1, 1e6).Draw(t, "perSecond"),
+				At:        now - kcclock.Millis(rapid.IntRange(0, 1_000_000).Draw(t, "age")),
+			})
+		}
+		got := kcload.LimitReport{Instance: want.Instance}
+		for _, raw := range kcload.EncodeLimitReport(want, now) {
+			r, err := kcload.DecodeLimitReport(raw, now)
+			if err != nil || len(raw) > kcload.MaxMessageBytes || !kcload.IsLimitReport(raw) || r.Instance != want.Instance {
+				t.Fatalf("%d bytes, %+v, %v", len(raw), r, err)
+			}
+			got.Limits = append(got.Limits, r.Limits...)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("%+v, want %+v", got, want)
+		}
+	})
+}
+
+func FuzzDecodeLimits(f *testing.F) {
+	for _, raw := range kcload.EncodeLimitReport(kcload.LimitReport{
+		Instance: "i", Limits: []kcload.UpstreamLimit{{Upstream: "u", PerSecond: 2.5}},
+	}, 5) {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if !kcload.IsLimitReport(b) {
+			return
+		}
+		r, err := kcload.DecodeLimitReport(b, 1000)
+		if err != nil {
+			return
+		}
+		for _, u := range r.Limits {
+			if u.At > 1000 || u.PerSecond != u.PerSecond {
+				t.Errorf("%+v", u)
+			}
+		}
+	})
+}
+
 func FuzzDecodeQuarantine(f *testing.F) {
 	for _, raw := range kcload.EncodeQuarantineReport(kcquarantine.Report{
 		Instance: "i", Evidence: []kcquarantine.Evidence{{Crash: 1, Parts: []kcquarantine.Part{2}}},
