kcquarantine: Tell suspected parts to instances that start

Blocked parts are in the store, suspected ones are not.

Change: an instance that starts asks three peers, as it does for sessions, and its first requests with a prompt wait for the answer, 450 ms after the start at most.

TestRestartedInstance- LearnsSuspects has no counterpart before the change: the query did not exist.

Conclusion: a restart no longer costs a crash by itself, as long as one peer is left.

--- a/internal/kcedge/quarantine.go
+++ b/internal/kcedge/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
@@ -13,6 +14,11 @@
 )
 
 const (
+	// quarantineQueryIntervalMs is the time between queries of an instance that has
+	// just started, maxQuarantineQueries the number of them. Peers that do not
+	// answer then are not there.
+	quarantineQueryIntervalMs = 100 * kcclock.Millisecond
+	maxQuarantineQueries      = 20
 	// maxStoredBlocks bounds the records that wait to be written.
 	maxStoredBlocks = 32
 	// blockWriteRetryMs is the time until a record that could not be written is
@@ -20,6 +26,41 @@
 	blockWriteRetryMs = 2 * kcclock.Second
 )
 
+// quarantineSync asks some peers for what they know about crashing prompt parts
+// after the start of the instance.
+type quarantineSync struct {
+	queriedAt kcclock.Millis
+	queries   int
+}
+
+func (q *quarantineSync) query(p *peers, now kcclock.Millis) {
+	select {
+	case <-p.edge.gate.Quarantine.Synced():
+		return
+	default:
+	}
+	if q.queries == maxQuarantineQueries || now-q.queriedAt < quarantineQueryIntervalMs || !p.listKnown() {
+		return
+	}
+	list := p.allRegions()
+	if len(list) == 0 {
+		p.edge.gate.Quarantine.MarkSynced()
+		return
+	}
+	q.queriedAt = now
+	q.queries++
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	p.send(kcload.EncodeQuarantineQuery(kcload.QuarantineQuery{Sender: uint32(p.ownID)}), list[:min(len(list), maxQueriedPeers)])
+}
+
+// answerQuarantineQuery sends what this instance knows to the peer that asked.
+func (p *peers) answerQuarantineQuery(to destination) {
+	r := p.edge.gate.Quarantine.Snapshot()
+	for _, raw := range kcload.EncodeQuarantineReport(r, kcclock.Boot{}.Now()) {
+		p.send(raw, []destination{to})
+	}
+}
+
 // sendQuarantine tells the peers of all regions what this instance knows about
 // crashing prompt parts.
 func (p *peers) sendQuarantine(now kcclock.Millis) {
--- a/internal/kcedge/reports.go
+++ b/internal/kcedge/reports.go
@@ -48,9 +48,11 @@
 	var last kcload.Message
 	lastSentAt, regionSentAt := kcclock.Millis(0), kcclock.Millis(0)
 	var sessions sessionReporter
+	var sync quarantineSync
 	for p.awaitReport(ctx, clock) {
 		now := clock.Now()
 		sessions.report(p, now)
+		sync.query(p, now)
 		p.sendQuarantine(now)
 		p.sendLimits(now)
 		near, far := p.ownRegion()
@@ -173,6 +175,13 @@
 		}
 		return err
 	}
+	if kcload.IsQuarantineQuery(raw) {
+		q, err := kcload.DecodeQuarantineQuery(raw)
+		if err == nil {
+			p.answerQuarantineQuery(destination{from, instanceID(q.Sender)})
+		}
+		return err
+	}
 	if kcload.IsLimitReport(raw) {
 		r, err := kcload.DecodeLimitReport(raw, kcclock.Boot{}.Now())
 		if err == nil {
--- a/internal/kcgate/harness_test.go
+++ b/internal/kcgate/harness_test.go
@@ -192,6 +192,7 @@
 	}
 	f.gate.Upstreams.Replace(ups, false)
 	f.gate.Rollouts.MarkStatesLoaded()
+	f.gate.Quarantine.MarkSynced()
 	f.host = "h.example"
 	f.serve(t, f.gate)
 	return f
--- a/internal/kcgate/quarantine.go
+++ b/internal/kcgate/quarantine.go
@@ -35,7 +35,7 @@
 }
 
 // initQuarantine sets the shared parts of the prompt. An instance that has just
-// started waits for the blocks that others have found.
+// started waits for what others know about them.
 func (x *exchange) initQuarantine(ctx context.Context) {
 	if len(x.meta.PromptParts) < 2 {
 		return
@@ -47,7 +47,8 @@
 	x.quarantine.parts = kcquarantine.SharedParts(ids)
 	x.quarantine.workspace = xxhash.Sum64String(x.workspace)
 	g := x.g
-	awaitUntil(ctx, g.Clock, g.Rollouts.statesLoaded, g.startup.startedAt+startupWaitMs)
+	known := g.startup.startedAt + startupWaitMs
+	_ = awaitUntil(ctx, g.Clock, g.Rollouts.statesLoaded, known) && awaitUntil(ctx, g.Clock, g.Quarantine.Synced(), known)
 	x.quarantine.waitLeftMs = kcclock.Millis(quarantineWaitShare * float64(x.route.LatencyObjectiveMs))
 }
 
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -100,6 +100,7 @@
 			want.Answers = append(want.Answers, kcquarantine.Answer{Part: part.Draw(t, "answered"), At: now - age()})
 			want.Trials = append(want.Trials, kcquarantine.TrialState{Part: part.Draw(t, "on trial"), Until: now + 1 + age()})
 		}
+		want.Complete = rapid.Bool().Draw(t, "complete")
 		got := kcquarantine.Report{Instance: want.Instance}
 		for _, raw := range kcload.EncodeQuarantineReport(want, now) {
 			r, err := kcload.DecodeQuarantineReport(raw, now)
@@ -107,7 +108,7 @@
 				t.Fatalf("%d bytes, %+v, %v", len(raw), r, err)
 			}
 			got.Evidence, got.Answers = append(got.Evidence, r.Evidence...), append(got.Answers, r.Answers...)
-			got.Trials = append(got.Trials, r.Trials...)
+			got.Trials, got.Complete = append(got.Trials, r.Trials...), got.Complete || r.Complete
 		}
 		if !reflect.DeepEqual(got, want) {
 			t.Fatalf("%+v, want %+v", got, want)
--- a/internal/kcload/quarantine.go
+++ b/internal/kcload/quarantine.go
@@ -7,14 +7,18 @@
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-// quarantineFormat is the first byte of a report on crashing prompt parts.
-const quarantineFormat = 5
+// First bytes of a report on crashing prompt parts and of a query for one.
+const (
+	quarantineFormat      = 5
+	quarantineQueryFormat = 7
+)
 
 // Tags of the entries of a quarantine report.
 const (
 	evidenceTag = 1
 	answerTag   = 2
 	trialTag    = 3
+	completeTag = 4
 )
 
 // maxReportedParts bounds the parts of one piece of evidence.
@@ -23,6 +27,28 @@
 // IsQuarantineReport reports whether a message tells of crashing prompt parts.
 func IsQuarantineReport(b []byte) bool { return len(b) > 0 && b[0] == quarantineFormat }
 
+// IsQuarantineQuery reports whether a message asks for a complete report.
+func IsQuarantineQuery(b []byte) bool { return len(b) > 0 && b[0] == quarantineQueryFormat }
+
+// QuarantineQuery asks for all that is known about crashing prompt parts.
+type QuarantineQuery struct {
+	// Sender identifies the instance that asks.
+	Sender uint32
+}
+
+// EncodeQuarantineQuery returns the encoded query.
+func EncodeQuarantineQuery(q QuarantineQuery) []byte {
+	return binary.BigEndian.AppendUint32([]byte{quarantineQueryFormat}, q.Sender)
+}
+
+// DecodeQuarantineQuery decodes a query.
+func DecodeQuarantineQuery(raw []byte) (QuarantineQuery, error) {
+	if len(raw) != 5 {
+		return QuarantineQuery{}, errTruncated
+	}
+	return QuarantineQuery{Sender: binary.BigEndian.Uint32(raw[1:])}, nil
+}
+
 // EncodeQuarantineReport encodes a report into as many messages as needed. Times
 // are sent relative to now, because the clocks of instances differ.
 func EncodeQuarantineReport(r kcquarantine.Report, now kcclock.Millis) [][]byte {
@@ -45,6 +71,9 @@
 	for _, t := range r.Trials {
 		add(appendAge(binary.BigEndian.AppendUint64([]byte{trialTag}, uint64(t.Part)), t.Until-now))
 	}
+	if r.Complete {
+		add([]byte{completeTag})
+	}
 	if len(b) > len(head) {
 		out = append(out, b)
 	}
@@ -93,6 +122,8 @@
 			if d.err == nil {
 				r.Trials = append(r.Trials, t)
 			}
+		case completeTag:
+			r.Complete = true
 		default:
 			d.err = errTruncated
 		}
--- a/internal/kcquarantine/exchange.go
+++ b/internal/kcquarantine/exchange.go
@@ -31,6 +31,9 @@
 	Evidence []Evidence
 	Answers  []Answer
 	Trials   []TrialState
+	// Complete is true for the answer to an instance that has just started: it
+	// holds all that the sender knows against parts.
+	Complete bool
 }
 
 // Block is a part whose requests are rejected, with the evidence.
@@ -197,6 +200,9 @@
 			s.trialBy, s.trialUntil, changed = "", 0, true
 		}
 	}
+	if r.Complete {
+		t.markSynced()
+	}
 	if changed {
 		t.notify()
 	}
@@ -214,6 +220,45 @@
 	}
 }
 
+// Snapshot returns all that speaks against parts, for an instance that has just
+// started.
+func (t *Tracker) Snapshot() Report {
+	now := t.opts.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := Report{Instance: t.opts.Instance, Complete: true}
+	for p, s := range t.suspects {
+		if t.failures(p) == 0 {
+			continue
+		}
+		for _, pc := range t.counted(p) {
+			r.Evidence = append(r.Evidence, t.evidence(p, pc))
+		}
+		if s.trialUntil > now {
+			r.Trials = append(r.Trials, TrialState{p, s.trialUntil})
+		}
+	}
+	return r
+}
+
+// Synced is closed once the instance knows what its peers know, or has none.
+func (t *Tracker) Synced() <-chan struct{} { return t.synced }
+
+// MarkSynced closes Synced.
+func (t *Tracker) MarkSynced() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.markSynced()
+}
+
+func (t *Tracker) markSynced() {
+	select {
+	case <-t.synced:
+	default:
+		close(t.synced)
+	}
+}
+
 // Restore adds a block that another instance, or an earlier process of this one,
 // has stored.
 // It reports whether it changes anything.
@@ -252,11 +297,16 @@
 	n := episodes(list)
 	b := Block{Part: p, Failures: n, NextTrialAt: list[len(list)-1].at + t.trialDelay(p, n)}
 	for _, pc := range list {
-		e := Evidence{Crash: pc.id, Workspace: pc.workspace, Request: pc.request, At: pc.at, Phase: Answering, Parts: []Part{p}}
-		if c := t.crashes[pc.id]; c != nil {
-			e.Upstream, e.Phase = c.upstream, c.parts[p]
-		}
-		b.Evidence = append(b.Evidence, e)
+		b.Evidence = append(b.Evidence, t.evidence(p, pc))
 	}
 	return b
 }
+
+// evidence returns what a crash says against a part.
+func (t *Tracker) evidence(p Part, pc partCrash) Evidence {
+	e := Evidence{Crash: pc.id, Workspace: pc.workspace, Request: pc.request, At: pc.at, Phase: Answering, Parts: []Part{p}}
+	if c := t.crashes[pc.id]; c != nil {
+		e.Upstream, e.Phase = c.upstream, c.parts[p]
+	}
+	return e
+}
--- a/internal/kcquarantine/tracker.go
+++ b/internal/kcquarantine/tracker.go
@@ -175,6 +175,7 @@
 	suspects map[Part]*suspect
 	answered answeredParts
 	outbox   outbox
+	synced   chan struct{}
 	// changed is closed when a waiting request should ask again.
 	changed chan struct{}
 }
@@ -183,6 +184,7 @@
 func New(opts Options) *Tracker {
 	return &Tracker{
 		opts: opts, crashes: make(map[uint64]*crash), suspects: make(map[Part]*suspect), changed: make(chan struct{}),
+		synced: make(chan struct{}),
 	}
 }
 
--- a/internal/kcquarantine/tracker_test.go
+++ b/internal/kcquarantine/tracker_test.go
@@ -212,6 +212,24 @@
 	late.wantAction(t, kcquarantine.Send, 1, "deadly")
 }
 
+// Guards against an instance that has restarted and sends what its peers suspect.
+func TestRestartedInstanceLearnsSuspects(t *testing.T) {
+	a, late := newFixture("a"), newFixture("late")
+	a.crash(1, "deadly")
+	late.clock.Advance(a.clock.Now() - late.clock.Now())
+	late.Merge(a.Snapshot())
+	select {
+	case <-late.Synced():
+	default:
+		t.Error("not synced after a complete report")
+	}
+	late.wantAction(t, kcquarantine.Wait, 1, "deadly")
+	a.Answered(parts("deadly"))
+	if r := a.Snapshot(); len(r.Evidence)+len(r.Trials) > 0 || !r.Complete {
+		t.Errorf("%+v after an answer", r)
+	}
+}
+
 // Guards against two trials of one part at two instances that hear each other.
 func TestTrialsExcludeEachOther(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
