kcgate: Share the slack of the retry budget between instances

Cause: found while looking for the class of LIMIT elsewhere. The operator's retry_slack holds for all instances together; it was decoded and not used, and each instance took 3 retries of its own: 885 of 630 with 295 instances, 222 of 188 with 74.

Change: an instance takes its part of nine tenths of the slack by the number of instances on the list, 3 at most as before.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -165,6 +165,7 @@
 		Deployment: opts.Deployment, Codec: kcplatform.Codec{}, Pool: e.upstreamPool, Clock: clock, WallClock: kcclock.System{},
 		Log: opts.Log, Metrics: e.metrics, ConfigAge: e.configFollower.Age, RolloutStateAge: e.progressFollower.Age,
 		OnPartBlocked: e.quarantine.blocked, OnPartCleared: e.quarantine.cleared, OnTrial: e.peers.wake,
+		InstanceCount: e.peers.instanceCount,
 	})
 	e.rollouts = newRolloutController(e, clock)
 	return e
--- a/internal/kcedge/peers.go
+++ b/internal/kcedge/peers.go
@@ -311,6 +311,13 @@
 	return list
 }
 
+// instanceCount returns the number of instances on the list, including this one.
+func (p *peers) instanceCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sameRegion) + len(p.otherRegions) + 1
+}
+
 // listKnown reports whether the list of instances was read.
 func (p *peers) listKnown() bool {
 	p.mu.Lock()
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -115,6 +115,9 @@
 	// RolloutStateAge returns the age of the rollout states, and false if there
 	// are none.
 	RolloutStateAge func(now kcclock.Millis) (kcclock.Millis, bool)
+	// InstanceCount returns the number of instances of the deployment, including
+	// this one. If it is nil, there are few.
+	InstanceCount func() int
 	// OnPartBlocked and OnPartCleared, if set, are called when this instance has
 	// seen why a prompt part is blocked, or no longer is. They must not block.
 	OnPartBlocked func(kcquarantine.Block)
@@ -184,9 +187,13 @@
 	// retryRatioFactor is the share of the configured retry ratio that is used.
 	// The rest covers retry windows that begin between a request and its retry.
 	retryRatioFactor = 0.95
-	// retrySlack is the number of retries that one instance may make beyond the
-	// ratio. The slack of the smallest deployment is 58 retries for 12 instances.
-	retrySlack = 3
+	// maxRetrySlack is the number of retries that one instance may make beyond the
+	// ratio, however few instances there are.
+	maxRetrySlack = 3
+	// retrySlackFactor is the share of the configured slack that all instances use
+	// together. The rest covers those that have started since and that are not on
+	// the list yet.
+	retrySlackFactor = 0.9
 	// defaultRetryWindowMs is used if the operator configures no window.
 	defaultRetryWindowMs = 10 * kcclock.Second
 )
@@ -195,15 +202,26 @@
 	b := g.retryWindows[service]
 	if b == nil {
 		bounds := g.Deployment.Bounds
-		b = &kcretry.WindowBudget{Share: retryRatioFactor * bounds.RetryRatio, BaseRetries: retrySlack, SpanMs: bounds.RetryWindowMs}
+		b = &kcretry.WindowBudget{Share: retryRatioFactor * bounds.RetryRatio, SpanMs: bounds.RetryWindowMs}
 		if b.SpanMs <= 0 {
 			b.SpanMs = defaultRetryWindowMs
 		}
 		g.retryWindows[service] = b
 	}
+	b.BaseRetries = g.retrySlack()
 	return b
 }
 
+// retrySlack returns the number of retries that this instance may make beyond the
+// ratio: its part of the slack, which holds for all instances together.
+func (g *Gateway) retrySlack() float64 {
+	slack := g.Deployment.Bounds.RetrySlack
+	if slack <= 0 || g.InstanceCount == nil {
+		return maxRetrySlack
+	}
+	return min(retrySlackFactor*slack/float64(max(g.InstanceCount(), 1)), maxRetrySlack)
+}
+
 // countRequest counts the first attempt of a request for the retry budget.
 func (g *Gateway) countRequest(service string) {
 	g.mu.Lock()
