kcquarantine: Block a part only on proven crashes, and never one of most requests

Three engines crashed in the first second, before anything had been answered; one of the three counted against the part of the class although the requests with it had only run beside the one at fault.

Change: only requests that had the header of a response, or ran on trial, count towards a block; what only ran beside them leads to a trial at most. A part that more than half of the requests hold is never blocked but on trial all the time. The newest crash of a part is no longer dropped when its list is full, which had made the next trial too early.

Figures: TestRequestsBesideCrashesDoNotBlock, TestPartOfMostRequestsIsNotBlocked fail before.

--- a/internal/kcgate/quarantine.go
+++ b/internal/kcgate/quarantine.go
@@ -45,6 +45,7 @@
 		ids[i] = part.ID
 	}
 	x.quarantine.parts = kcquarantine.SharedParts(ids)
+	x.g.Quarantine.CountRequest(x.quarantine.parts)
 	x.quarantine.workspace = xxhash.Sum64String(x.workspace)
 	g := x.g
 	known := g.startup.startedAt + startupWaitMs
@@ -118,9 +119,9 @@
 		return
 	}
 	phase := kcquarantine.Reading
-	if a.progress == headerOnly {
+	if a.progress == headerOnly || q.onTrial {
 		phase = kcquarantine.Answering
-	} else if !q.onTrial && x.g.Quarantine.Proven(q.parts) {
+	} else if x.g.Quarantine.Proven(q.parts) {
 		return
 	}
 	if !x.g.Pool.Refuses(ctx, c.Address) {
--- a/internal/kcquarantine/admit.go
+++ b/internal/kcquarantine/admit.go
@@ -39,6 +39,23 @@
 	Changed <-chan struct{}
 }
 
+// CountRequest counts a new request. The counts tell which parts most requests
+// hold.
+func (t *Tracker) CountRequest(parts []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.suspects) == 0 {
+		return
+	}
+	now := t.opts.Clock.Now()
+	t.requests.add(now)
+	for _, p := range parts {
+		if s := t.suspects[p]; s != nil {
+			s.requests.add(now)
+		}
+	}
+}
+
 // Admit decides whether a request with these parts may be sent. It answers few
 // requests that crash their upstreams among many that do not, with evidence that
 // is some ten milliseconds old.
--- a/internal/kcquarantine/exchange.go
+++ b/internal/kcquarantine/exchange.go
@@ -293,8 +293,7 @@
 }
 
 func (t *Tracker) block(p Part) Block {
-	list := t.counted(p)
-	n := episodes(list)
+	list, n := t.counted(p), t.failures(p)
 	b := Block{Part: p, Failures: n, NextTrialAt: list[len(list)-1].at + t.trialDelay(p, n)}
 	for _, pc := range list {
 		b.Evidence = append(b.Evidence, t.evidence(p, pc))
--- a/internal/kcquarantine/load_test.go
+++ b/internal/kcquarantine/load_test.go
@@ -245,6 +245,7 @@
 			ids = append(ids, "deadly")
 		}
 		x.parts, x.workspace = kcquarantine.SharedParts(append(ids, "own")), uint64(subject%10)
+		s.trackers[x.instance].CountRequest(x.parts)
 		s.waiting = append(s.waiting, x)
 	}
 }
@@ -335,10 +336,10 @@
 		}
 		t := s.trackers[x.instance]
 		phase := kcquarantine.Reading
-		if now >= x.headerAt {
+		if now >= x.headerAt || x.onTrial {
 			phase = kcquarantine.Answering
 		}
-		if phase == kcquarantine.Answering || x.onTrial || !t.Proven(x.parts) {
+		if phase == kcquarantine.Answering || !t.Proven(x.parts) {
 			t.Crashed(kcquarantine.Evidence{
 				Crash: uint64(i)<<32 | uint64(u.incarnation), Upstream: fmt.Sprint("u", i), Workspace: x.workspace,
 				At: now, Phase: phase, Parts: x.parts,
--- a/internal/kcquarantine/tracker.go
+++ b/internal/kcquarantine/tracker.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -53,7 +54,8 @@
 	// Reading means that nothing of the response had arrived. Such a request
 	// usually ran beside the one that is at fault.
 	Reading Phase = iota
-	// Answering means that the header had arrived, but nothing of the body.
+	// Answering means that the header had arrived, but nothing of the body, or that
+	// the request ran on trial.
 	Answering
 )
 
@@ -82,9 +84,18 @@
 	// clearedForMs is how long an answer keeps a part from being blamed for a
 	// single crash.
 	clearedForMs = 10 * kcclock.Second
-	// blockAfter is the number of crashes in a row after which requests with a
-	// part are rejected, and after which an earlier answer no longer counts.
+	// blockAfter is the number of crashes in a row, with Answering evidence, after
+	// which requests with a part are rejected, and after which an earlier answer no
+	// longer counts.
 	blockAfter = 3
+	// commonShare is the share of the requests above which a part is never
+	// blocked, but on trial all the time. Without it, one wrong block would reject
+	// most of the traffic.
+	commonShare = 0.5
+	// minRequests is the number of requests from which the share of a part is
+	// known, shareHalfLifeMs the time in which the weight of a request halves.
+	minRequests     = 20
+	shareHalfLifeMs = 5 * kcclock.Second
 	// episodeMs is the time within which crashes count as one: machines that fail
 	// together take down several upstreams, and whatever ran on them.
 	episodeMs = 250 * kcclock.Millisecond
@@ -159,6 +170,8 @@
 type suspect struct {
 	// crashes holds the newest crashes, in order of their times.
 	crashes []partCrash
+	// requests counts the requests with the part.
+	requests decayingCount
 	// trialBy is the instance that has a request with the part on trial until
 	// trialUntil.
 	trialBy    string
@@ -175,6 +188,8 @@
 	suspects map[Part]*suspect
 	answered answeredParts
 	outbox   outbox
+	// requests counts all requests while there are suspects.
+	requests decayingCount
 	synced   chan struct{}
 	// changed is closed when a waiting request should ask again.
 	changed chan struct{}
@@ -279,10 +294,11 @@
 }
 
 // closestToPrevious returns the index of the crash that follows another one most
-// closely. Without it, the number of episodes is most likely the same.
+// closely, but not that of the last one, from which the next trial counts. Without
+// it, the number of episodes is most likely the same.
 func closestToPrevious(list []partCrash) int {
 	best := 1
-	for i := 2; i < len(list); i++ {
+	for i := 2; i < len(list)-1; i++ {
 		if list[i].at-list[i-1].at < list[best].at-list[best-1].at {
 			best = i
 		}
@@ -362,14 +378,45 @@
 	if len(list) == 0 {
 		return 0
 	}
-	n := episodes(list)
+	n := t.provenEpisodes(p, list)
 	answeredAt, wasAnswered := t.answered.get(p)
 	if n < blockAfter && wasAnswered && list[0].at-answeredAt <= clearedForMs {
 		return 0
 	}
-	return n
+	if n >= blockAfter && !t.isCommon(p) {
+		return n
+	}
+	return min(max(n, 1), blockAfter-1)
 }
 
+// provenEpisodes returns the number of crashes with Answering evidence against a
+// part, without those that came together.
+func (t *Tracker) provenEpisodes(p Part, list []partCrash) int {
+	return episodes(slices.DeleteFunc(slices.Clone(list), func(pc partCrash) bool {
+		c := t.crashes[pc.id]
+		return c != nil && c.parts[p] != Answering
+	}))
+}
+
+// isCommon reports whether most requests hold a part.
+func (t *Tracker) isCommon(p Part) bool {
+	now := t.opts.Clock.Now()
+	total := t.requests.at(now)
+	return total >= minRequests && t.suspects[p].requests.at(now) > commonShare*total
+}
+
+// decayingCount is an exponentially decaying count.
+type decayingCount struct {
+	n       float64
+	countAt kcclock.Millis
+}
+
+func (c *decayingCount) at(now kcclock.Millis) float64 {
+	return c.n * math.Exp2(-float64(now-c.countAt)/float64(shareHalfLifeMs))
+}
+
+func (c *decayingCount) add(now kcclock.Millis) { c.n, c.countAt = c.at(now)+1, now }
+
 // Suspects returns the number of parts that crashes blame or have blamed.
 func (t *Tracker) Suspects() int {
 	t.mu.Lock()
@@ -466,7 +513,7 @@
 			continue
 		}
 		other := t.counted(q)
-		if episodes(other) < blockAfter || !containsAll(other, own) {
+		if t.provenEpisodes(q, other) < blockAfter || !containsAll(other, own) {
 			continue
 		}
 		explained, more = true, more || len(other) > len(own)
--- a/internal/kcquarantine/tracker_test.go
+++ b/internal/kcquarantine/tracker_test.go
@@ -166,6 +166,42 @@
 	}
 }
 
+// Guards against a block on the evidence of requests that only ran beside the one
+// at fault.
+func TestRequestsBesideCrashesDoNotBlock(t *testing.T) {
+	f := newFixture("i")
+	for n := range 9 {
+		f.clock.Advance(kcclock.Second)
+		f.Crashed(kcquarantine.Evidence{
+			Crash: uint64(n + 1), Workspace: 1, At: f.clock.Now(), Phase: kcquarantine.Reading, Parts: parts("class"),
+		})
+	}
+	f.wantNot(t, kcquarantine.Reject, 1, "class")
+}
+
+// Guards against one wrong block that rejects most of the traffic.
+func TestPartOfMostRequestsIsNotBlocked(t *testing.T) {
+	f := newFixture("i")
+	for range 3 {
+		f.crash(1, "class")
+	}
+	f.wantAction(t, kcquarantine.Reject, 1, "class")
+	trials := 0
+	for n := range 200 {
+		f.clock.Advance(100)
+		prompt := parts("class", "subject"+strconv.Itoa(n))
+		f.CountRequest(prompt)
+		if f.Admit(prompt, 1).Action == kcquarantine.Trial {
+			trials++
+			f.clock.Advance(-kcclock.Second)
+			f.crash(1, "class")
+		}
+	}
+	if trials < 5 || trials > 20 {
+		t.Errorf("%d trials in 20 s", trials)
+	}
+}
+
 // Guards against a part that is never blocked because it was answered before.
 func TestPartThatBecomesDeadlyIsBlocked(t *testing.T) {
 	f := newFixture("i")
