kcgate: Do not take a crash for the end of a response without framing

What callers saw: a stream or an answer with neither a length nor chunks that an upstream broke off by crashing reached them as a complete success, as its connection ends like that of a complete one. An empty stream did so as well, and its crash blamed nobody.

Cause: nothing but the connection tells where such a response ends, and a process that ends closes its connections cleanly.

Change: when such a response ends, the upstream must still listen; if it refuses connections, and is not draining, the response has been broken off, and the request goes on elsewhere within its limits. A stream that ends before its first event is not an answer either.

The price is one connection for each such response, which is kept for the next request.

--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -161,10 +161,7 @@
 	r.finished = true
 	stopped := r.stopCancelWatch()
 	_ = r.conn.SetReadDeadline(time.Now()) // the read below must not block
-	// Without a length or chunked encoding, the body ends when the connection
-	// closes.
-	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	if _, err := r.Body.Read(make([]byte, 1)); !stopped || !errors.Is(err, io.EOF) || r.Close || !framed {
+	if _, err := r.Body.Read(make([]byte, 1)); !stopped || !errors.Is(err, io.EOF) || r.Close || !r.Framed() {
 		_ = r.conn.Close()
 		return
 	}
@@ -176,6 +173,10 @@
 	r.pool.putIdle(r.conn)
 }
 
+// Framed reports whether the body has a length or is sent in chunks. Otherwise it
+// ends when the connection closes, and its end does not show that it is complete.
+func (r *Response) Framed() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
 // Abort closes the connection, which cancels the request at the server.
 func (r *Response) Abort() {
 	if r.finished {
--- a/internal/kcgate/crashing_part_test.go
+++ b/internal/kcgate/crashing_part_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -72,3 +73,44 @@
 		t.Errorf("%d requests with the deadly part reached upstreams, want 3 at most", sent)
 	}
 }
+
+// Guards against a crash that is taken for the end of a response because the
+// response has neither a length nor chunks: nothing of a stream, half of it, or half
+// of an answer. An upstream that has crashed no longer listens.
+func TestCrashIsNotTheEndOfResponseWithoutFraming(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind kctable.RequestType
+		body string
+		want string
+	}{
+		{"empty stream", kctable.Streaming, "", event(1) + event(2)},
+		{"half of a stream", kctable.Streaming, event(1), event(1) + event(2)},
+		{"half of an answer", kctable.Idempotent, "ha", "half"},
+	} {
+		var n atomic.Int32
+		var engines [2]*engine
+		for k := range engines {
+			engines[k] = newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+				if n.Add(1) == 1 {
+					write(w, "HTTP/1.1 200 OK\r\nRequest-Id: "+req.Header.Get("Request-Id")+"\r\nStamp: s\r\n\r\n"+c.body)
+					_ = engines[k].ln.Close()
+					return false
+				}
+				if c.kind != kctable.Streaming {
+					return reply(w, req, "200 OK", "", c.want)
+				}
+				rest := c.want
+				if req.Header.Get("Last-Event-Id") == "1" {
+					rest = event(2)
+				}
+				return stream(w, req, "", rest) && write(w, lastChunk)
+			})
+		}
+		f := newFixture(t, []kctable.Route{route("a", c.kind)}, engines[:]...)
+		resp, body, err := f.request(t, "/a/x")
+		if err != nil || resp.StatusCode != http.StatusOK || body != c.want {
+			t.Errorf("%s: %v %q %v: want %q from the other engine", c.name, resp, body, err, c.want)
+		}
+	}
+}
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -30,6 +30,9 @@
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	}
+	if err == nil && len(body) <= maxBufferedBytes {
+		err = x.checkEnd(ctx, c, resp)
+	}
 	if err != nil {
 		resp.Abort()
 		finish(maybeRan, "body: "+err.Error())
@@ -59,7 +62,7 @@
 		x.writeHeader(resp.StatusCode, len(body))
 		_, err = x.w.Write(body)
 	} else {
-		x.forwardLongBody(resp, body)
+		x.forwardLongBody(ctx, c, resp, body)
 	}
 	detail := itoa(resp.StatusCode)
 	if err != nil {
@@ -80,7 +83,7 @@
 
 // forwardLongBody forwards a response as it arrives. read is the part that is
 // already read.
-func (x *exchange) forwardLongBody(resp *kcconn.Response, read []byte) {
+func (x *exchange) forwardLongBody(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, read []byte) {
 	x.writeHeader(resp.StatusCode, int(resp.ContentLength))
 	_, err := x.w.Write(read)
 	if err == nil {
@@ -90,6 +93,9 @@
 		x.setTimeout(x.rc.SetWriteDeadline, x.remaining())
 		_, err = io.Copy(x.w, resp.Body)
 	}
+	if err == nil {
+		err = x.checkEnd(ctx, c, resp)
+	}
 	if err != nil {
 		resp.Abort()
 		x.reason = reasonTruncated
@@ -193,6 +199,10 @@
 		}
 		ev, err := rd.next()
 		if errors.Is(err, io.EOF) {
+			if err := x.checkStreamEnd(ctx, c, resp, *last); err != nil {
+				resp.Abort()
+				return err
+			}
 			resp.Finish()
 			x.startStream(resp)
 			if x.events >= minPauseEvents {
@@ -228,6 +238,30 @@
 	}
 }
 
+var (
+	errCrashedAtEnd = errs.New("the upstream has crashed at the end of a response without framing")
+	errEmptyStream  = errs.New("a stream without framing ended before its first event")
+)
+
+// checkEnd returns an error if the body of a response may be incomplete although
+// its connection was closed cleanly: it has no framing, and the upstream no longer
+// listens. One that is draining ends its responses before it leaves.
+func (x *exchange) checkEnd(ctx context.Context, c *pickedUpstream, resp *kcconn.Response) error {
+	if resp.Framed() || x.g.Upstreams.isDraining(c) || !x.g.Pool.Refuses(ctx, c.Address) {
+		return nil
+	}
+	return errCrashedAtEnd
+}
+
+// checkStreamEnd does the same for a stream. last is the id of the last event that
+// was forwarded, or -1.
+func (x *exchange) checkStreamEnd(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last int64) error {
+	if !resp.Framed() && x.events == 0 && last < 0 {
+		return errEmptyStream
+	}
+	return x.checkEnd(ctx, c, resp)
+}
+
 // writeEvent sends an event to the caller.
 func (x *exchange) writeEvent(raw []byte) error {
 	x.setTimeout(x.rc.SetWriteDeadline, callerWriteTimeoutMs)
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -335,6 +335,13 @@
 	return l.clock.Now() - kcclock.Millis(c.u.lastActivityAt.Load())
 }
 
+// isDraining reports whether the upstream is leaving.
+func (l *Upstreams) isDraining(c *pickedUpstream) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.u.Draining
+}
+
 // recordInterruption records that the upstream aborted a response. It reports
 // whether this counts as evidence on its version: a crash aborts all responses of
 // an upstream at once and counts as one.
