kcquarantine: Do not send a request that crashed its upstream on at once

Cause: a part that was answered in the last 10 s is not suspected for a single crash.

Change: a request whose own upstream crashed when it was about to answer it waits for a trial, unless its parts were answered since. Suspected requests wait for a quarter of the time that they have left, 1.5 s at most, instead of a quarter of the objective: with an objective of 300 ms all of them were rejected at once.

--- a/internal/kcgate/crashing_part_test.go
+++ b/internal/kcgate/crashing_part_test.go
@@ -34,7 +34,7 @@
 func promptHeader(middle string, n int) []string {
 	return []string{
 		"Model", "m", "Token-Count", "300,10", "Prefix-Hash", "first:100," + middle + ":100,last" + middle + itoa(n) + ":100",
-		"Request-Id", middle + itoa(n),
+		"Request-Id", middle + itoa(n), "Deadline-Ms", "1000",
 	}
 }
 
--- a/internal/kcgate/quarantine.go
+++ b/internal/kcgate/quarantine.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// quarantineWaitShare is the share of the latency objective for which a
-	// request waits until it may be on trial. What is left is enough for an answer
-	// in time.
+	// quarantineWaitShare is the share of its time for which a request waits until
+	// it may be on trial, maxQuarantineWaitMs the longest time: that until the trial
+	// after a second crash. A sound request is answered late then, but it is.
 	quarantineWaitShare = 0.25
+	maxQuarantineWaitMs = 1500 * kcclock.Millisecond
 	// minQuarantineRetryMs is the shortest time after which the caller of a
 	// suspected request is told to return.
 	minQuarantineRetryMs = 2 * kcclock.Second
@@ -23,9 +24,8 @@
 
 // quarantineState tells how a request stands to crashes of upstreams.
 type quarantineState struct {
-	// parts are the parts of the prompt that other requests may share.
-	parts     []kcquarantine.Part
-	workspace uint64
+	// Parts are the parts of the prompt that other requests may share.
+	kcquarantine.Request
 	// waitLeftMs is how long the request may still wait for its trial.
 	waitLeftMs kcclock.Millis
 	// onTrial is true while the request runs on trial.
@@ -44,13 +44,13 @@
 	for i, part := range x.meta.PromptParts {
 		ids[i] = part.ID
 	}
-	x.quarantine.parts = kcquarantine.SharedParts(ids)
-	x.g.Quarantine.CountRequest(x.quarantine.parts)
-	x.quarantine.workspace = xxhash.Sum64String(x.workspace)
+	x.quarantine.Parts = kcquarantine.SharedParts(ids)
+	x.g.Quarantine.CountRequest(x.quarantine.Parts)
+	x.quarantine.Workspace = xxhash.Sum64String(x.workspace)
 	g := x.g
 	known := g.startup.startedAt + startupWaitMs
 	_ = awaitUntil(ctx, g.Clock, g.Rollouts.statesLoaded, known) && awaitUntil(ctx, g.Clock, g.Quarantine.Synced(), known)
-	x.quarantine.waitLeftMs = kcclock.Millis(quarantineWaitShare * float64(x.route.LatencyObjectiveMs))
+	x.quarantine.waitLeftMs = min(kcclock.Millis(quarantineWaitShare*float64(x.remaining())), maxQuarantineWaitMs)
 }
 
 // awaitQuarantine waits until the request may be sent, as far as crashes of
@@ -59,11 +59,11 @@
 // what its header says, before the upstream crashes.
 func (x *exchange) awaitQuarantine(ctx context.Context, model *string) bool {
 	q := &x.quarantine
-	if len(q.parts) == 0 || q.onTrial || q.answered {
+	if len(q.Parts) == 0 || q.onTrial || q.answered {
 		return true
 	}
 	for {
-		d := x.g.Quarantine.Admit(q.parts, q.workspace)
+		d := x.g.Quarantine.Admit(q.Request)
 		switch {
 		case d.Action == kcquarantine.Send:
 			return true
@@ -72,7 +72,7 @@
 			*model = x.lastModel(*model)
 			x.logQuarantine(d, "trial")
 			return true
-		case d.Action == kcquarantine.Reject || d.WaitMs > min(q.waitLeftMs, x.remaining()/2) || ctx.Err() != nil:
+		case d.Action == kcquarantine.Reject || d.WaitMs > q.waitLeftMs || ctx.Err() != nil:
 			x.logQuarantine(d, "reject")
 			x.fail(ctx, reasonQuarantined, max(d.WaitMs, minQuarantineRetryMs))
 			return false
@@ -96,17 +96,17 @@
 // recordAnswerStart records that an upstream has begun to answer the request.
 func (x *exchange) recordAnswerStart() {
 	q := &x.quarantine
-	if len(q.parts) == 0 || q.answered {
+	if len(q.Parts) == 0 || q.answered {
 		return
 	}
 	q.answered, q.onTrial = true, false
-	x.g.Quarantine.Answered(q.parts)
+	x.g.Quarantine.Answered(q.Parts)
 }
 
 // endTrial ends a trial that showed nothing.
 func (x *exchange) endTrial() {
 	if x.quarantine.onTrial {
-		x.g.Quarantine.EndTrial(x.quarantine.parts)
+		x.g.Quarantine.EndTrial(x.quarantine.Parts)
 	}
 }
 
@@ -115,16 +115,17 @@
 // connections has not crashed.
 func (x *exchange) recordCrash(ctx context.Context, c *pickedUpstream) {
 	q, a := &x.quarantine, &x.attempts[len(x.attempts)-1]
-	if len(q.parts) == 0 || q.answered || ctx.Err() != nil || a.progress == bodyStarted {
+	if len(q.Parts) == 0 || q.answered || ctx.Err() != nil || a.progress == bodyStarted {
 		return
 	}
 	phase := kcquarantine.Reading
 	if a.progress == headerOnly || q.onTrial {
-		phase = kcquarantine.Answering
-	} else if x.g.Quarantine.Proven(q.parts) {
+		phase, q.Crashed = kcquarantine.Answering, true
+	} else if x.g.Quarantine.Proven(q.Parts) {
 		return
 	}
 	if !x.g.Pool.Refuses(ctx, c.Address) {
+		q.Crashed = false
 		return
 	}
 	now := x.g.Clock.Now()
@@ -133,7 +134,7 @@
 		slog.String("workspace", x.workspace), slog.String("upstream", c.ID), slog.String("phase", a.progress.String()),
 		slog.Bool("trial", q.onTrial), slog.String("parts", formatParts(x.meta.PromptParts)))
 	x.g.Quarantine.Crashed(kcquarantine.Evidence{
-		Crash: crashID(c.Upstream), Upstream: c.ID, Request: x.meta.ID, Workspace: q.workspace, At: now, Phase: phase, Parts: q.parts,
+		Crash: crashID(c.Upstream), Upstream: c.ID, Request: x.meta.ID, Workspace: q.Workspace, At: now, Phase: phase, Parts: q.Parts,
 	})
 }
 
--- a/internal/kcquarantine/admit.go
+++ b/internal/kcquarantine/admit.go
@@ -39,6 +39,15 @@
 	Changed <-chan struct{}
 }
 
+// Request is what a decision depends on.
+type Request struct {
+	Parts     []Part
+	Workspace uint64
+	// Crashed is true if an upstream has crashed when it was about to answer the
+	// request. Then its parts are suspected even if they were answered lately.
+	Crashed bool
+}
+
 // CountRequest counts a new request. The counts tell which parts most requests
 // hold.
 func (t *Tracker) CountRequest(parts []Part) {
@@ -56,19 +65,19 @@
 	}
 }
 
-// Admit decides whether a request with these parts may be sent. It answers few
+// Admit decides whether a request may be sent. It answers few
 // requests that crash their upstreams among many that do not, with evidence that
 // is some ten milliseconds old.
-func (t *Tracker) Admit(parts []Part, workspace uint64) Decision {
+func (t *Tracker) Admit(r Request) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var d Decision
 	if len(t.suspects) == 0 {
 		return d
 	}
-	now, request := t.opts.Clock.Now(), kcset.New(parts...)
-	for _, p := range parts {
-		n, at := t.nextTrial(p, workspace, request)
+	now, held := t.opts.Clock.Now(), kcset.New(r.Parts...)
+	for _, p := range r.Parts {
+		n, at := t.nextTrial(p, r, held)
 		if n == 0 {
 			continue
 		}
@@ -85,7 +94,7 @@
 		return d
 	case d.WaitMs == 0:
 		d.Action = Trial
-		t.startTrial(parts, now)
+		t.startTrial(r, now)
 	case d.Failures >= blockAfter:
 		d.Action = Reject
 	default:
@@ -97,19 +106,19 @@
 
 // nextTrial returns the number of crashes that speak against a part of a request
 // and the time from which the request may be on trial. The number is 0 if the
-// part is not suspected.
-func (t *Tracker) nextTrial(p Part, workspace uint64, request kcset.Set[Part]) (failures int, at kcclock.Millis) {
-	n := t.failures(p)
+// part is not suspected. held holds the parts of the request.
+func (t *Tracker) nextTrial(p Part, r Request, held kcset.Set[Part]) (failures int, at kcclock.Millis) {
+	n := t.suspicion(p, r)
 	if n == 0 {
 		return 0, 0
 	}
-	explained, more := t.explainedElsewhere(p, request)
+	explained, more := t.explainedElsewhere(p, held)
 	if more {
 		return 0, 0
 	}
 	list := t.counted(p)
 	last := list[len(list)-1]
-	if n >= blockAfter && (explained || ofOneOtherWorkspace(list, workspace)) {
+	if n >= blockAfter && (explained || ofOneOtherWorkspace(list, r.Workspace)) {
 		// The part was never seen without a worse one, or never in a request of
 		// this workspace.
 		n = 1
@@ -117,6 +126,15 @@
 	return n, last.at + t.trialDelay(p, n)
 }
 
+// suspicion returns the number of crashes that speak against a part of a request.
+func (t *Tracker) suspicion(p Part, r Request) int {
+	n := t.failures(p)
+	if n == 0 && r.Crashed && len(t.counted(p)) > 0 {
+		return 1
+	}
+	return n
+}
+
 // ofOneOtherWorkspace reports whether all crashes came from requests of one
 // workspace that is not this one.
 func ofOneOtherWorkspace(list []partCrash, workspace uint64) bool {
@@ -151,10 +169,10 @@
 	})
 }
 
-func (t *Tracker) startTrial(parts []Part, now kcclock.Millis) {
-	for _, p := range parts {
+func (t *Tracker) startTrial(r Request, now kcclock.Millis) {
+	for _, p := range r.Parts {
 		s := t.suspects[p]
-		if s == nil || t.failures(p) == 0 {
+		if s == nil || t.suspicion(p, r) == 0 {
 			continue
 		}
 		s.trialBy, s.trialUntil = t.opts.Instance, now+trialMs
--- a/internal/kcquarantine/load_test.go
+++ b/internal/kcquarantine/load_test.go
@@ -85,6 +85,7 @@
 	deadly    bool
 	onTrial   bool
 	answered  bool
+	crashed   bool
 	waited    kcclock.Millis
 	attempts  int
 	upstream  int
@@ -254,7 +255,7 @@
 	list := s.waiting
 	s.waiting = nil
 	for _, x := range list {
-		d := s.trackers[x.instance].Admit(x.parts, x.workspace)
+		d := s.trackers[x.instance].Admit(kcquarantine.Request{Parts: x.parts, Workspace: x.workspace, Crashed: x.crashed})
 		switch {
 		case x.answered || d.Action == kcquarantine.Send:
 			s.send(x)
@@ -338,6 +339,7 @@
 		phase := kcquarantine.Reading
 		if now >= x.headerAt || x.onTrial {
 			phase = kcquarantine.Answering
+			x.crashed = true
 		}
 		if phase == kcquarantine.Answering || !t.Proven(x.parts) {
 			t.Crashed(kcquarantine.Evidence{
--- a/internal/kcquarantine/tracker_test.go
+++ b/internal/kcquarantine/tracker_test.go
@@ -39,9 +39,13 @@
 	})
 }
 
+func (f *fixture) admit(workspace uint64, ids ...string) kcquarantine.Decision {
+	return f.Admit(kcquarantine.Request{Parts: parts(ids...), Workspace: workspace})
+}
+
 func (f *fixture) wantAction(t *testing.T, want kcquarantine.Action, workspace uint64, ids ...string) {
 	t.Helper()
-	if d := f.Admit(parts(ids...), workspace); d.Action != want {
+	if d := f.admit(workspace, ids...); d.Action != want {
 		t.Errorf("%v: %s, want %s: %+v", ids, d.Action, want, d)
 	}
 }
@@ -65,7 +69,7 @@
 		f.crash(1, "deadly")
 	}
 	f.wantAction(t, kcquarantine.Reject, 1, "deadly")
-	d := f.Admit(parts("deadly"), 1)
+	d := f.admit(1, "deadly")
 	f.clock.Advance(d.WaitMs - 1)
 	f.wantAction(t, kcquarantine.Reject, 1, "deadly")
 	f.clock.Advance(1)
@@ -77,7 +81,7 @@
 
 func (f *fixture) wantNot(t *testing.T, unwanted kcquarantine.Action, workspace uint64, ids ...string) {
 	t.Helper()
-	if d := f.Admit(parts(ids...), workspace); d.Action == unwanted {
+	if d := f.admit(workspace, ids...); d.Action == unwanted {
 		t.Errorf("%v: %s", ids, d.Action)
 	}
 	f.EndTrial(parts(ids...))
@@ -89,7 +93,7 @@
 	last := kcclock.Millis(0)
 	for n := range 12 {
 		f.crash(1, "deadly")
-		d := f.Admit(parts("deadly"), 1)
+		d := f.admit(1, "deadly")
 		if d.WaitMs < last || n < 6 && d.WaitMs == last {
 			t.Errorf("crash %d: wait of %d ms after one of %d ms", n+1, d.WaitMs, last)
 		}
@@ -166,6 +170,23 @@
 	}
 }
 
+// Guards against a request that crashes one upstream after the other because its
+// parts were answered before.
+func TestRequestThatCrashedIsNotSentAtOnce(t *testing.T) {
+	f := newFixture("i")
+	f.Answered(parts("subject"))
+	f.crash(1, "subject")
+	f.wantAction(t, kcquarantine.Send, 1, "subject")
+	r := kcquarantine.Request{Parts: parts("subject"), Workspace: 1, Crashed: true}
+	if d := f.Admit(r); d.Action != kcquarantine.Wait {
+		t.Errorf("%+v", d)
+	}
+	f.Answered(parts("subject"))
+	if d := f.Admit(r); d.Action != kcquarantine.Send {
+		t.Errorf("%+v after an answer to another request", d)
+	}
+}
+
 // Guards against a block on the evidence of requests that only ran beside the one
 // at fault.
 func TestRequestsBesideCrashesDoNotBlock(t *testing.T) {
@@ -191,7 +212,7 @@
 		f.clock.Advance(100)
 		prompt := parts("class", "subject"+strconv.Itoa(n))
 		f.CountRequest(prompt)
-		if f.Admit(prompt, 1).Action == kcquarantine.Trial {
+		if f.Admit(kcquarantine.Request{Parts: prompt, Workspace: 1}).Action == kcquarantine.Trial {
 			trials++
 			f.clock.Advance(-kcclock.Second)
 			f.crash(1, "class")
@@ -291,7 +312,7 @@
 				clear(onTrial) // a trial of 5 s may have expired
 				f.EndTrial(parts("p"))
 			case 1:
-				if f.Admit(parts("p"), 1).Action == kcquarantine.Trial {
+				if f.admit(1, "p").Action == kcquarantine.Trial {
 					onTrial[f] = true
 				}
 				if onTrial[a] && onTrial[b] {
--- a/internal/kcsoak/soak_test.go
+++ b/internal/kcsoak/soak_test.go
@@ -31,6 +31,7 @@
 	firstSeed     = flag.Uint64("first", 1, "first seed")
 	faultPhaseMs  = flag.Int64("day", 6000, "duration of the fault injection of each seed in ms")
 	instanceCount = flag.Int("instances", 4, "number of instances")
+	keepLogs      = flag.Bool("logs", false, "keep the logs of seeds that pass as well")
 	programPath   string
 )
 
@@ -327,9 +328,9 @@
 }
 
 // saveLogsIfFailed writes the log of the last process of each instance to a file
-// if the test has failed.
+// if the test has failed or all logs are kept.
 func (s *soakRun) saveLogsIfFailed() {
-	if !s.t.Failed() {
+	if !s.t.Failed() && !*keepLogs {
 		return
 	}
 	for _, i := range s.instances {
