kcentry: Keep messages away from engines that they would crash

Cause: the own door had the same fault as the platform's: a chat request was sent to one engine after the other, and those after it too.

Change: the messages of a request but the last are the parts of its prompt; both doors use the same tracker and the same wait. Instances tell each other in their digests what they know. The refusal has the code quarantined.

kingcuprail quarantine list and lift show and lift blocks on the users' platform.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -15,15 +15,16 @@
 )
 
 type rootCommand struct {
-	Demo    demoCommand    `cmd:"" help:"Run one entry instance and all stand-in services in one process."`
-	Edge    edgeCommand    `cmd:"" help:"Run an instance on the users' platform."`
-	Explain explainCommand `cmd:"" help:"Print which candidates an instance would choose for a request and why."`
-	Replay  replayCommand  `cmd:"" help:"Run a trace through the decision code and check its stated outcomes."`
-	Serve   serveCommand   `cmd:"" help:"Run an entry instance."`
-	Config  configCommand  `cmd:"" help:"Check and print settings."`
-	Status  statusCommand  `cmd:"" help:"Print the state and the metrics of a running instance."`
-	Bills   billsCommand   `cmd:"" help:"Print the bills in the log, and check that none is missing or duplicated."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Demo       demoCommand       `cmd:"" help:"Run one entry instance and all stand-in services in one process."`
+	Edge       edgeCommand       `cmd:"" help:"Run an instance on the users' platform."`
+	Explain    explainCommand    `cmd:"" help:"Print which candidates an instance would choose for a request and why."`
+	Replay     replayCommand     `cmd:"" help:"Run a trace through the decision code and check its stated outcomes."`
+	Serve      serveCommand      `cmd:"" help:"Run an entry instance."`
+	Config     configCommand     `cmd:"" help:"Check and print settings."`
+	Status     statusCommand     `cmd:"" help:"Print the state and the metrics of a running instance."`
+	Quarantine quarantineCommand `cmd:"" help:"Print and lift blocks of prompt parts on the users' platform."`
+	Bills      billsCommand      `cmd:"" help:"Print the bills in the log, and check that none is missing or duplicated."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 // commandEnv holds the context, streams and logger of a command.
--- a/internal/kcentry/dispatch.go
+++ b/internal/kcentry/dispatch.go
@@ -39,8 +39,13 @@
 	if refusal := s.awaitCapacity(ctx, ex, ex.plan.First); refusal != nil {
 		return refusal
 	}
-	dispatch := &chatDispatch{s: s, ex: ex, triedEngines: kcset.New[string]()}
+	dispatch := &chatDispatch{s: s, ex: ex, triedEngines: kcset.New[string](), quarantine: s.newChatQuarantine(ex)}
+	defer dispatch.quarantine.end()
 	for n := range s.Limits.MaxAttempts {
+		if refusal := dispatch.quarantine.await(ctx); refusal != nil {
+			dispatch.lastErr = refusal
+			break
+		}
 		member, refusal := dispatch.nextEngine(n)
 		if refusal != nil {
 			return refusal
@@ -51,6 +56,7 @@
 		r := &relay{
 			s: s, ex: ex, attemptID: ex.ID + "-" + strconv.Itoa(n), version: ex.Version,
 			holdUntilChecked: ex.rejectedFirst == nil && ex.plan.Second != "",
+			onFirstEvent:     dispatch.quarantine.recordAnswer,
 		}
 		start := s.Clock.Now()
 		dispatch.lastErr = s.attemptChat(ctx, r, kcupstream.Target{ID: member.ID, Addr: member.Addr})
@@ -58,6 +64,7 @@
 		if dispatch.lastErr == nil {
 			return nil
 		}
+		dispatch.quarantine.recordFailure(ctx, r, member, dispatch.lastErr)
 		if errors.Is(dispatch.lastErr, errCheckFailed) {
 			ex.rejectedFirst = r
 			continue
@@ -65,6 +72,9 @@
 		if failure := s.terminalError(ctx, ex, dispatch.lastErr); failure != nil || r.started {
 			return dispatch.fail(r, failure)
 		}
+		if dispatch.quarantine.onTrial {
+			break
+		}
 	}
 	return dispatch.fail(nil, nil)
 }
@@ -74,6 +84,7 @@
 	s            *Server
 	ex           *Exchange
 	triedEngines kcset.Set[string]
+	quarantine   *chatQuarantine
 	// lastErr is the error of the last dispatch.
 	lastErr error
 }
@@ -247,6 +258,7 @@
 		s.evaluateAttempt(r, err)
 		return err
 	}
+	r.headerArrived = true
 	err = r.copyStream(ctx, stream)
 	stream.Close(err == nil)
 	passed := s.evaluateAttempt(r, err)
--- a/internal/kcentry/relay.go
+++ b/internal/kcentry/relay.go
@@ -43,6 +43,10 @@
 	// the last one.
 	eventCount                int
 	firstEventAt, lastEventAt kcclock.Millis
+	// onFirstEvent, if set, is called at the first event.
+	onFirstEvent func()
+	// headerArrived is true once the engine has begun its response.
+	headerArrived bool
 	// started is true once part of the response has been sent to the caller.
 	started bool
 }
@@ -67,6 +71,9 @@
 func (r *relay) countEvent(now kcclock.Millis) {
 	if r.eventCount == 0 {
 		r.firstEventAt = now
+		if r.onFirstEvent != nil {
+			r.onFirstEvent()
+		}
 	}
 	r.lastEventAt = now
 	r.eventCount++
--- a/internal/kcentry/server.go
+++ b/internal/kcentry/server.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcjob"
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
+	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcrules"
 	"github.com/kingcuprail/kingcuprail/internal/kcsession"
 	"github.com/kingcuprail/kingcuprail/internal/kcupstream"
@@ -43,7 +44,10 @@
 	// JobQueue accepts deferred jobs; nil disables the job endpoints.
 	JobQueue *kcjob.Queue
 	Sessions *kcsession.Signer
-	Limits   Limits
+	// Quarantine holds the messages under which engines have crashed. It may be nil;
+	// the server then creates its own.
+	Quarantine *kcquarantine.Tracker
+	Limits     Limits
 	// RoutingState may be nil; the server then creates its own.
 	RoutingState *RoutingState
 }
@@ -67,6 +71,9 @@
 	if opts.RoutingState == nil {
 		opts.RoutingState = NewRoutingState(RoutingStateOptions{Instance: opts.Instance, Clock: opts.Clock, Rules: opts.Rules})
 	}
+	if opts.Quarantine == nil {
+		opts.Quarantine = kcquarantine.New(kcquarantine.Options{Clock: opts.Clock, Instance: opts.Instance})
+	}
 	load := newUpstreamLoadTable(opts.Clock, opts.Metrics.Count)
 	return &Server{
 		Options: opts, upstreamLoad: load, enginePools: newEngineTable(load.blockedUpstreams), routingState: opts.RoutingState,
--- a/internal/kcgate/quarantine.go
+++ b/internal/kcgate/quarantine.go
@@ -11,17 +11,6 @@
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-const (
-	// quarantineWaitShare is the share of its time for which a request waits until
-	// it may be on trial, maxQuarantineWaitMs the longest time: that until the trial
-	// after a second crash. A sound request is answered late then, but it is.
-	quarantineWaitShare = 0.25
-	maxQuarantineWaitMs = 1500 * kcclock.Millisecond
-	// minQuarantineRetryMs is the shortest time after which the caller of a
-	// suspected request is told to return.
-	minQuarantineRetryMs = 2 * kcclock.Second
-)
-
 // quarantineState tells how a request stands to crashes of upstreams.
 type quarantineState struct {
 	// Parts are the parts of the prompt that other requests may share.
@@ -50,7 +39,7 @@
 	g := x.g
 	known := g.startup.startedAt + startupWaitMs
 	_ = awaitUntil(ctx, g.Clock, g.Rollouts.statesLoaded, known) && awaitUntil(ctx, g.Clock, g.Quarantine.Synced(), known)
-	x.quarantine.waitLeftMs = min(kcclock.Millis(quarantineWaitShare*float64(x.remaining())), maxQuarantineWaitMs)
+	x.quarantine.waitLeftMs = kcquarantine.MaxWait(x.remaining())
 }
 
 // awaitQuarantine waits until the request may be sent, as far as crashes of
@@ -62,35 +51,26 @@
 	if len(q.Parts) == 0 || q.onTrial || q.answered {
 		return true
 	}
-	for {
-		d := x.g.Quarantine.Admit(q.Request)
-		switch {
-		case d.Action == kcquarantine.Send:
-			return true
-		case d.Action == kcquarantine.Trial:
-			q.onTrial = true
-			*model = x.lastModel(*model)
-			x.logQuarantine(d, "trial")
-			return true
-		case d.Action == kcquarantine.Reject || d.WaitMs > q.waitLeftMs || ctx.Err() != nil:
-			x.logQuarantine(d, "reject")
-			x.fail(ctx, reasonQuarantined, max(d.WaitMs, minQuarantineRetryMs))
-			return false
-		}
-		waitStart := x.g.Clock.Now()
-		select {
-		case <-d.Changed:
-		case <-x.g.Clock.After(d.WaitMs):
-		case <-ctx.Done():
-		}
-		q.waitLeftMs -= x.g.Clock.Now() - waitStart
+	d := x.g.Quarantine.Await(ctx, q.Request, &q.waitLeftMs)
+	switch d.Action {
+	case kcquarantine.Trial:
+		q.onTrial = true
+		*model = x.lastModel(*model)
+	case kcquarantine.Reject:
+		x.logQuarantine(d)
+		x.fail(ctx, reasonQuarantined, d.RetryAfter())
+		return false
+	default:
+		return true
 	}
+	x.logQuarantine(d)
+	return true
 }
 
-func (x *exchange) logQuarantine(d kcquarantine.Decision, outcome string) {
-	x.g.Metrics.Count("quarantine." + outcome)
+func (x *exchange) logQuarantine(d kcquarantine.Decision) {
+	x.g.Metrics.Count("quarantine." + d.Action.String())
 	x.g.Log.Info("quarantine", "request", x.meta.ID, "workspace", x.workspace, "part", d.Part, "crashes", d.Failures,
-		"nextTrialMs", d.WaitMs, "outcome", outcome)
+		"nextTrialMs", d.WaitMs, "outcome", d.Action)
 }
 
 // recordAnswerStart records that an upstream has begun to answer the request.
--- a/internal/kcinstance/engine_test.go
+++ b/internal/kcinstance/engine_test.go
@@ -27,6 +27,7 @@
 type testEngine struct {
 	chat, resume engineHandler
 	chatRequests atomic.Int64
+	server       *httptest.Server
 	// cancelledIDs receives the id of each cancelled attempt.
 	cancelledIDs chan string
 }
@@ -67,6 +68,7 @@
 		r.Workspaces["demo"] = w
 		for n, e := range engines {
 			srv := httptest.NewServer(e)
+			e.server = srv
 			t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 			o.Lister.(*kcstandin.InstanceList).Put(kcmember.Member{
 				ID: string(rune('a' + n)), Role: kcmember.RoleEngine, Addr: srv.Listener.Addr().String(),
--- a/internal/kcinstance/instance.go
+++ b/internal/kcinstance/instance.go
@@ -68,6 +68,7 @@
 	callerServer   *http.Server
 	adminServer    *http.Server
 	node           *kcpeer.Node
+	quarantine     *quarantineSync
 	configReader   *kcconfig.Reader
 	routingSync    *routingSync
 	// peerTraffic counts the bytes sent and received by the peer listener.
@@ -119,6 +120,7 @@
 	i.configReader = i.newConfig(metrics)
 	i.routingSync = i.newRoutingSync()
 	i.claimer = i.newClaimer(metrics)
+	i.quarantine = newQuarantineSync(opts.Clock, set.Instance.ID, opts.Log)
 	i.node = kcpeer.NewNode(kcpeer.Options{
 		Self: kcmember.Member{
 			ID: set.Instance.ID, Role: kcmember.RoleEntry, Addr: set.Instance.Peer,
@@ -128,7 +130,7 @@
 		Seed: xxhash.Sum64String(set.Instance.ID), PeriodMs: kcclock.Second, TimeoutMs: kcclock.Second,
 		Handlers: withDigestParts(
 			withBillHandler(withClaimHandler(withConfigHandler(opts.PeerHandlers, i.configReader), i.claimer), i.billHolder),
-			i.routingSync), TLS: peerTLS, Deployment: set.Platform.DeploymentID(), Log: opts.Log,
+			i.routingSync, i.quarantine), TLS: peerTLS, Deployment: set.Platform.DeploymentID(), Log: opts.Log,
 	})
 	if set.Instance.Peer != "" {
 		i.claimer.SetPeers(i.node)
@@ -143,7 +145,7 @@
 		Directory:      i.directory,
 		UpstreamClient: i.upstreamClient,
 		Claimer:        i.claimer,
-		Ledger:         i.ledger, JobQueue: i.jobQueue, Sessions: signer, Limits: set.Limits,
+		Ledger:         i.ledger, JobQueue: i.jobQueue, Sessions: signer, Limits: set.Limits, Quarantine: i.quarantine.Tracker,
 	})
 	i.jobQueue.SetExecutor(i.entry)
 	return i, nil
--- /dev/null
+++ b/internal/kcinstance/quarantine_test.go
@@ -0,0 +1,86 @@
+package kcinstance_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcinstance"
+)
+
+const deadlyMessage = "deadly message"
+
+// newCrashingEngines returns engines that end when they begin to answer a prompt
+// with the deadly message. deadlyRuns counts these requests.
+func newCrashingEngines(n int, deadlyRuns *atomic.Int64) []*testEngine {
+	var engines []*testEngine
+	for range n {
+		e := newTestEngine(nil, nil)
+		e.chat = func(w http.ResponseWriter, r *http.Request, id string) {
+			if r.Header.Get("X-Deadly") == "" {
+				writeEvent(w, id, 0, "fine")
+				writeDone(w)
+				return
+			}
+			deadlyRuns.Add(1)
+			_ = http.NewResponseController(w).Flush()
+			_ = e.server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
+
+// ServeHTTP marks requests whose body holds the deadly message.
+type deadlyMarker struct{ next http.Handler }
+
+func (d deadlyMarker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if bytes.Contains(body, []byte(deadlyMessage)) {
+		r.Header.Set("X-Deadly", "1")
+	}
+	d.next.ServeHTTP(w, r)
+}
+
+// Guards against a message that crashes one engine after the other, in requests
+// that differ in their last message.
+func TestMessageThatCrashesEnginesIsNotSentOn(t *testing.T) {
+	var deadlyRuns atomic.Int64
+	engines := newCrashingEngines(8, &deadlyRuns)
+	i := startInstance(t, func(o *kcinstance.Options) {
+		withEngines(t, engines...)(o)
+		for _, e := range engines {
+			e.server.Config.Handler = deadlyMarker{e}
+		}
+	})
+	send := func(system string, n int) *http.Response {
+		t.Helper()
+		body := fmt.Sprintf(`{"model":"custom","stream":true,"messages":[{"role":"system","content":%q},{"role":"user","content":"%d"}]}`,
+			system, n)
+		resp := i.postChat(context.Background(), t, body, "Kingcuprail-Max-Wait-Ms", "2000")
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp
+	}
+	for n := range 6 {
+		if resp := send("fine message", n); resp.StatusCode != http.StatusOK {
+			t.Errorf("sound request %d: status %d", n, resp.StatusCode)
+		}
+		resp := send(deadlyMessage, n)
+		if resp.StatusCode == http.StatusOK {
+			t.Errorf("request %d with the deadly message: status 200", n)
+		}
+		if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+			t.Errorf("request %d is rejected without a time to come back", n)
+		}
+	}
+	if n := deadlyRuns.Load(); n > 3 {
+		t.Errorf("%d requests with the deadly message reached engines, want 3 at most", n)
+	}
+}
--- a/internal/kcquarantine/admit.go
+++ b/internal/kcquarantine/admit.go
@@ -1,6 +1,7 @@
 package kcquarantine
 
 import (
+	"context"
 	"math"
 	"slices"
 
@@ -104,6 +105,29 @@
 	return d
 }
 
+// Await waits until a request may be sent, and returns a decision that is not Wait.
+// It waits for *leftMs at most, of which it takes what it has waited, and rejects
+// at once a request that it would have to hold for longer.
+func (t *Tracker) Await(ctx context.Context, r Request, leftMs *kcclock.Millis) Decision {
+	for {
+		d := t.Admit(r)
+		if d.Action != Wait {
+			return d
+		}
+		if d.WaitMs > *leftMs || ctx.Err() != nil {
+			d.Action = Reject
+			return d
+		}
+		start := t.opts.Clock.Now()
+		select {
+		case <-d.Changed:
+		case <-t.opts.Clock.After(d.WaitMs):
+		case <-ctx.Done():
+		}
+		*leftMs -= t.opts.Clock.Now() - start
+	}
+}
+
 // nextTrial returns the number of crashes that speak against a part of a request
 // and the time from which the request may be on trial. The number is 0 if the
 // part is not suspected. held holds the parts of the request.
@@ -183,6 +207,27 @@
 	}
 }
 
+const (
+	// waitShare is the share of its time for which a request waits for its trial,
+	// maxWaitMs the longest time: that until the trial after a second crash. A sound
+	// request is answered late then, but it is.
+	waitShare = 0.25
+	maxWaitMs = 1500 * kcclock.Millisecond
+	// minRetryMs is the shortest time after which the caller of a suspected request
+	// is told to return.
+	minRetryMs = 2 * kcclock.Second
+)
+
+// MaxWait returns how long a request with this much time left may wait for its
+// trial.
+func MaxWait(remaining kcclock.Millis) kcclock.Millis {
+	return min(kcclock.Millis(waitShare*float64(remaining)), maxWaitMs)
+}
+
+// RetryAfter returns the time after which the caller of a rejected request may
+// return.
+func (d Decision) RetryAfter() kcclock.Millis { return max(d.WaitMs, minRetryMs) }
+
 // EndTrial ends a trial that showed nothing: the request was not run, or its
 // caller left.
 func (t *Tracker) EndTrial(parts []Part) {
--- a/internal/kcquarantine/exchange.go
+++ b/internal/kcquarantine/exchange.go
@@ -220,8 +220,8 @@
 	}
 }
 
-// Snapshot returns all that speaks against parts, for an instance that has just
-// started.
+// Snapshot returns all that speaks against parts, and the answers that have cleared
+// some lately.
 func (t *Tracker) Snapshot() Report {
 	now := t.opts.Clock.Now()
 	t.mu.Lock()
@@ -229,6 +229,9 @@
 	r := Report{Instance: t.opts.Instance, Complete: true}
 	for p, s := range t.suspects {
 		if t.failures(p) == 0 {
+			if at, ok := t.answered.get(p); ok && now-at <= clearedForMs {
+				r.Answers = append(r.Answers, Answer{p, at})
+			}
 			continue
 		}
 		for _, pc := range t.counted(p) {
--- a/pkg/kcapi/api.go
+++ b/pkg/kcapi/api.go
@@ -64,6 +64,7 @@
 	CodeDeadlineExceeded        Code = "deadlineExceeded"
 	CodeRateLimited             Code = "rateLimited"
 	CodeOverloaded              Code = "overloaded"
+	CodeQuarantined             Code = "quarantined"
 	CodeStaleConfiguration      Code = "staleConfiguration"
 	CodeStopping                Code = "stopping"
 	CodeMethodNotAllowed        Code = "methodNotAllowed"
