kcentry: Reject requests with a blocked message before they queue

A request whose message is blocked waited for capacity first and was rejected then. Also splits kcquarantine.Tracker.Merge and wraps long lines for the linter.

--- a/internal/commands/quarantine.go
+++ b/internal/commands/quarantine.go
@@ -27,7 +27,8 @@
 
 func (p platformStore) open() (*kcplatform.Store, func()) {
 	pool := kcconn.NewPool(kcconn.Options{
-		Clock: kcclock.System{}, DialTimeoutMs: p.TimeoutMs, UnackedTimeoutMs: p.TimeoutMs, IdleTimeoutMs: p.TimeoutMs, MaxIdlePerAddr: 1,
+		Clock: kcclock.System{}, DialTimeoutMs: p.TimeoutMs, UnackedTimeoutMs: p.TimeoutMs, IdleTimeoutMs: p.TimeoutMs,
+		MaxIdlePerAddr: 1,
 	})
 	return &kcplatform.Store{Pool: pool, Addr: p.Store}, pool.Close
 }
--- a/internal/kcentry/dispatch.go
+++ b/internal/kcentry/dispatch.go
@@ -36,10 +36,13 @@
 	ctx, cancel := s.withDeadline(ctx, ex)
 	defer cancel()
 	s.routingState.countFirstAttempt()
+	dispatch := &chatDispatch{s: s, ex: ex, triedEngines: kcset.New[string](), quarantine: s.newChatQuarantine(ex)}
+	if refusal := dispatch.quarantine.check(); refusal != nil {
+		return refusal
+	}
 	if refusal := s.awaitCapacity(ctx, ex, ex.plan.First); refusal != nil {
 		return refusal
 	}
-	dispatch := &chatDispatch{s: s, ex: ex, triedEngines: kcset.New[string](), quarantine: s.newChatQuarantine(ex)}
 	defer dispatch.quarantine.end()
 	for n := range s.Limits.MaxAttempts {
 		if refusal := dispatch.quarantine.await(ctx); refusal != nil {
--- a/internal/kcentry/quarantine.go
+++ b/internal/kcentry/quarantine.go
@@ -55,6 +55,15 @@
 	return out
 }
 
+// check returns the refusal of a request that need not queue because a part of it is
+// blocked.
+func (q *chatQuarantine) check() *kcapi.Error {
+	if d := q.s.Quarantine.Check(q.Request); d.Action == kcquarantine.Reject {
+		return q.refuse(d)
+	}
+	return nil
+}
+
 // await waits until the request may be sent, as far as crashes of engines are
 // concerned.
 func (q *chatQuarantine) await(ctx context.Context) *kcapi.Error {
@@ -66,12 +75,21 @@
 		return nil
 	}
 	q.onTrial = d.Action == kcquarantine.Trial
+	if !q.onTrial {
+		return q.refuse(d)
+	}
+	q.logDecision(d)
+	return nil
+}
+
+func (q *chatQuarantine) logDecision(d kcquarantine.Decision) {
 	q.s.Metrics.Count("quarantine." + d.Action.String())
 	q.s.Log.Info("quarantine", "request", q.ex.ID, "workspace", q.ex.WorkspaceName, "part", d.Part, "crashes", d.Failures,
 		"nextTrialMs", d.WaitMs, "outcome", d.Action)
-	if q.onTrial {
-		return nil
-	}
+}
+
+func (q *chatQuarantine) refuse(d kcquarantine.Decision) *kcapi.Error {
+	q.logDecision(d)
 	return kcapi.NewError(http.StatusServiceUnavailable, kcapi.CodeQuarantined, q.ex.Execution,
 		"a message of the request has crashed "+strconv.Itoa(d.Failures)+" engines").WithRetryAfter(d.RetryAfter())
 }
--- a/internal/kcinstance/quarantine.go
+++ b/internal/kcinstance/quarantine.go
@@ -27,7 +27,8 @@
 		Tracker: kcquarantine.New(kcquarantine.Options{
 			Clock: clock, Instance: instance,
 			OnBlocked: func(b kcquarantine.Block) {
-				log.Warn("prompt part blocked", "part", b.Part, "crashes", b.Failures, "nextTrialMs", b.NextTrialAt-clock.Now(), "evidence", b)
+				log.Warn("prompt part blocked", "part", b.Part, "crashes", b.Failures, "nextTrialMs", b.NextTrialAt-clock.Now(),
+					"evidence", b)
 			},
 			OnCleared: func(p kcquarantine.Part) { log.Info("prompt part cleared", "part", p) },
 		}),
--- a/internal/kcinstance/quarantine_test.go
+++ b/internal/kcinstance/quarantine_test.go
@@ -61,8 +61,8 @@
 	})
 	send := func(system string, n int) *http.Response {
 		t.Helper()
-		body := fmt.Sprintf(`{"model":"custom","stream":true,"messages":[{"role":"system","content":%q},{"role":"user","content":"%d"}]}`,
-			system, n)
+		const format = `{"model":"custom","stream":true,"messages":[{"role":"system","content":%q},{"role":"user","content":"%d"}]}`
+		body := fmt.Sprintf(format, system, n)
 		resp := i.postChat(context.Background(), t, body, "Kingcuprail-Max-Wait-Ms", "2000")
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
--- a/internal/kcquarantine/admit.go
+++ b/internal/kcquarantine/admit.go
@@ -72,6 +72,22 @@
 func (t *Tracker) Admit(r Request) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	d := t.decide(r)
+	if d.Action == Trial {
+		t.startTrial(r, t.opts.Clock.Now())
+	}
+	return d
+}
+
+// Check returns what Admit would decide, without starting a trial. It is for
+// requests that have to queue before they are sent.
+func (t *Tracker) Check(r Request) Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.decide(r)
+}
+
+func (t *Tracker) decide(r Request) Decision {
 	var d Decision
 	if len(t.suspects) == 0 {
 		return d
@@ -95,7 +111,6 @@
 		return d
 	case d.WaitMs == 0:
 		d.Action = Trial
-		t.startTrial(r, now)
 	case d.Failures >= blockAfter:
 		d.Action = Reject
 	default:
--- a/internal/kcquarantine/exchange.go
+++ b/internal/kcquarantine/exchange.go
@@ -188,6 +188,17 @@
 			t.answerEvidence(e, cleared, now)
 		}
 	}
+	changed = t.mergeTrials(r, now) || changed
+	if r.Complete {
+		t.markSynced()
+	}
+	if changed {
+		t.notify()
+	}
+}
+
+// mergeTrials applies the trials of a peer and reports whether one has ended.
+func (t *Tracker) mergeTrials(r Report, now kcclock.Millis) (ended bool) {
 	for _, tr := range r.Trials {
 		s := t.suspects[tr.Part]
 		if s == nil {
@@ -197,15 +208,10 @@
 		case tr.Until > 0 && (s.trialBy == "" || s.trialBy == r.Instance || s.trialUntil <= now):
 			s.trialBy, s.trialUntil = r.Instance, min(tr.Until, now+trialMs)
 		case tr.Until == 0 && s.trialBy == r.Instance:
-			s.trialBy, s.trialUntil, changed = "", 0, true
+			s.trialBy, s.trialUntil, ended = "", 0, true
 		}
 	}
-	if r.Complete {
-		t.markSynced()
-	}
-	if changed {
-		t.notify()
-	}
+	return ended
 }
 
 // answerEvidence tells the peers which parts of a crashed request were answered
--- a/internal/kcsoak/incidents_test.go
+++ b/internal/kcsoak/incidents_test.go
@@ -193,7 +193,8 @@
 		}
 	}
 	if late > 3 {
-		s.errorf("%d deadly requests reached engines later than %d ms after the fifth crash, allowed 3; %d in all", late, contactMs, len(runs))
+		s.errorf("%d deadly requests of %d reached engines later than %d ms after the fifth crash, allowed 3",
+			late, len(runs), contactMs)
 	}
 }
 
--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -246,7 +246,8 @@
 		}
 	}
 	res := c.readResponse(t, call, resp)
-	if framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0; !framed && res.Err == nil && c.refuses(callerCtx, t.Addr) {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if !framed && res.Err == nil && c.refuses(callerCtx, t.Addr) {
 		res.Body, res.Err = nil, errs.New("%s has crashed at the end of a response without framing", t.ID)
 	}
 	return res
--- a/internal/kcupstream/client_test.go
+++ b/internal/kcupstream/client_test.go
@@ -88,7 +88,8 @@
 			_ = conn.Close()
 		}()
 		c := NewClient(Options{Clock: kcclock.System{}, IdleTimeoutMs: kcclock.Second, MaxResponseBytes: 1 << 20})
-		res := c.Do(context.Background(), Target{ID: "s", Addr: ln.Addr().String()}, Call{Path: "/x", RequestID: "q", TimeoutMs: kcclock.Minute})
+		target := Target{ID: "s", Addr: ln.Addr().String()}
+		res := c.Do(context.Background(), target, Call{Path: "/x", RequestID: "q", TimeoutMs: kcclock.Minute})
 		<-done
 		if failed := res.Err != nil; failed != crash || !res.Sent || !crash && string(res.Body) != "ha" {
 			t.Errorf("crash %v: %+v", crash, res)
