kcgate: Take the pause of a stream at its eighth event

Cause: how slow a stream is was known at its end only.

Change: the mean pause is taken at the eighth event, or at the end of a shorter stream, for all versions alike.

TestSlowStreamCountsBeforeItsEnd fails before.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -181,7 +181,7 @@
 func (x *exchange) tryUpstream(ctx context.Context, c *pickedUpstream, model string) attemptResult {
 	now := x.g.Clock.Now()
 	x.attempts = append(x.attempts, x.newAttempt(c, model, now))
-	x.attemptSlow, x.latencyKnown = false, false
+	x.attemptSlow, x.latencyKnown, x.slowRecorded = false, false, false
 	last := len(x.attempts) - 1
 	finish := func(e execution, detail string) {
 		s := &x.attempts[last]
@@ -361,9 +361,17 @@
 // recordOutcome adds the outcome of an attempt to the evidence of a rollout.
 func (x *exchange) recordOutcome(c *pickedUpstream, bad bool) {
 	x.g.Rollouts.recordOutcome(x.service, c, x.route.Name, kcrollout.Failure, bad)
-	if !bad && x.latencyKnown {
-		// Latencies are already compared per model and route, so they need no
-		// stratum.
+	if !bad {
+		x.recordSlow(c)
+	}
+}
+
+// recordSlow adds to the evidence of a rollout whether the attempt is slow, once this
+// is known. Latencies are already compared per model and route, so they need no
+// stratum.
+func (x *exchange) recordSlow(c *pickedUpstream) {
+	if x.latencyKnown && !x.slowRecorded {
+		x.slowRecorded = true
 		x.g.Rollouts.recordOutcome(x.service, c, "", kcrollout.Slow, x.attemptSlow)
 	}
 }
--- a/internal/kcgate/pace.go
+++ b/internal/kcgate/pace.go
@@ -123,6 +123,9 @@
 	// minPauseEvents is the number of events from which the mean pause between
 	// events is computed.
 	minPauseEvents = 3
+	// pauseSampleEvents is the number of events after which the mean pause of a
+	// stream is taken. The streams of a slow version last for longer than an order.
+	pauseSampleEvents = 8
 	// minPrefillTokens is the prompt length from which the time to the first
 	// event shows how fast an engine prefills.
 	minPrefillTokens = 2500
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -205,9 +205,8 @@
 			}
 			resp.Finish()
 			x.startStream(resp)
-			if x.events >= minPauseEvents {
-				pause := float64(x.g.Clock.Now()-firstEventAt) / float64(x.events)
-				x.classifyLatency(c, "pause/"+a.model, pause, engineSlowFactor)
+			if x.events >= minPauseEvents && x.events < pauseSampleEvents {
+				x.classifyPause(c, a, firstEventAt)
 			}
 			return nil
 		}
@@ -228,6 +227,10 @@
 			a.progress = bodyStarted
 			x.recordAnswerStart()
 		}
+		if x.events == pauseSampleEvents {
+			x.classifyPause(c, a, firstEventAt)
+			x.recordSlow(c)
+		}
 		if err := x.writeEvent(ev.raw); err != nil {
 			resp.Abort()
 			return err
@@ -262,6 +265,13 @@
 	return x.checkEnd(ctx, c, resp)
 }
 
+// classifyPause compares the mean pause between the events of a stream with the usual
+// one.
+func (x *exchange) classifyPause(c *pickedUpstream, a *attempt, firstEventAt kcclock.Millis) {
+	pause := float64(x.g.Clock.Now()-firstEventAt) / float64(x.events)
+	x.classifyLatency(c, "pause/"+a.model, pause, engineSlowFactor)
+}
+
 // writeEvent sends an event to the caller.
 func (x *exchange) writeEvent(raw []byte) error {
 	x.setTimeout(x.rc.SetWriteDeadline, callerWriteTimeoutMs)
@@ -319,6 +329,7 @@
 	now := x.g.Clock.Now()
 	s := x.newAttempt(c, model, now)
 	s.execution = maybeRan
+	x.attemptSlow, x.latencyKnown, x.slowRecorded = false, false, false
 	defer func() {
 		s.tookMs = x.g.Clock.Now() - now
 		x.attempts = append(x.attempts, s)
--- a/internal/kcgate/slow_stream_test.go
+++ b/internal/kcgate/slow_stream_test.go
@@ -1,6 +1,8 @@
 package kcgate_test
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -50,3 +52,86 @@
 	}
 	<-done
 }
+
+// Guards against a slow version that is not noticed because its streams last for
+// longer than the order.
+func TestSlowStreamCountsBeforeItsEnd(t *testing.T) {
+	const events = 8
+	var all []string
+	for n := range events + 1 {
+		all = append(all, event(n+1))
+	}
+	old := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		return stream(w, req, "", all...) && write(w, lastChunk)
+	})
+	firstRead, release := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	target := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		if !stream(w, req, "", all[0]) {
+			return false
+		}
+		<-firstRead
+		for _, e := range all[1:events] {
+			write(w, chunk(e))
+		}
+		<-release
+		return false
+	})
+	r := route("a", kctable.Streaming)
+	r.MaxEventGapMs = 60_000
+	f := newFixture(t, []kctable.Route{r}, old)
+	model := []string{"Model", "m", "Token-Count", "100,10"}
+	for n := range 20 {
+		if _, body, err := f.request(t, "/a/x", append(model, "Session", "before"+itoa(n))...); err != nil || body == "" {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	f.startRollout(old, target)
+	for n := 0; len(target.requests()) == 0; n++ {
+		body := f.openStream(t, append(model, "Session", "s"+itoa(n), "Request-Id", "q"+itoa(n))...)
+		br := bufio.NewReader(body)
+		readEvents(t, br, 1)
+		if len(target.requests()) > 0 {
+			f.clock.Advance(5000)
+			close(firstRead)
+			readEvents(t, br, events-1)
+		}
+		_ = body.Close()
+	}
+	if got := f.gate.Rollouts.Active(); len(got) != 1 || got[0].NewFailures == 0 {
+		t.Errorf("%+v: want evidence against the target after %d slow events", got, events)
+	}
+}
+
+// openStream sends a request and returns the body of its response.
+func (f *fixture) openStream(t *testing.T, header ...string) io.ReadCloser {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+"/a/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = f.host
+	req.Header.Set("Api-Key", "key")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.Body
+}
+
+// readEvents reads n events of a stream.
+func readEvents(t *testing.T, br *bufio.Reader, n int) {
+	t.Helper()
+	for n > 0 {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if line == "\n" {
+			n--
+		}
+	}
+}
