--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -222,15 +222,7 @@
 		}
 		x.g.Upstreams.markActive(c)
 		x.startStream(resp)
-		if x.events++; x.events == 1 {
-			firstEventAt = x.g.Clock.Now()
-			a.progress = bodyStarted
-			x.recordAnswerStart()
-		}
-		if x.events == pauseSampleEvents {
-			x.classifyPause(c, a, firstEventAt)
-			x.recordSlow(c)
-		}
+		x.countEvent(c, a, &firstEventAt)
 		if err := x.writeEvent(ev.raw); err != nil {
 			resp.Abort()
 			return err
@@ -265,6 +257,19 @@
 	return x.checkEnd(ctx, c, resp)
 }
 
+// countEvent counts an event of an attempt, and records what the first ones tell.
+func (x *exchange) countEvent(c *pickedUpstream, a *attempt, firstEventAt *kcclock.Millis) {
+	switch x.events++; x.events {
+	case 1:
+		*firstEventAt = x.g.Clock.Now()
+		a.progress = bodyStarted
+		x.recordAnswerStart()
+	case pauseSampleEvents:
+		x.classifyPause(c, a, *firstEventAt)
+		x.recordSlow(c)
+	}
+}
+
 // classifyPause compares the mean pause between the events of a stream with the usual
 // one.
 func (x *exchange) classifyPause(c *pickedUpstream, a *attempt, firstEventAt kcclock.Millis) {
