--- a/internal/kcquarantine/load_test.go
+++ b/internal/kcquarantine/load_test.go
@@ -32,6 +32,9 @@
 	// killAt is the time at which killPercent of the instances restart and forget
 	// all but the blocks that are stored.
 	killAt, killPercent int
+	// badUpstreams run a bad version: each crashes under badPercent of the requests
+	// that it begins to answer, whatever they hold.
+	badUpstreams, badPercent int
 	// lengthMs is the length of the load, seeds the number of times it is played.
 	lengthMs, seeds int
 }
@@ -57,7 +60,7 @@
 		dest := map[string]*int{
 			"instances": &s.instances, "upstreams": &s.upstreams, "subjects": &s.subjects, "ratePerSecond": &s.ratePerSecond,
 			"lossPercent": &s.lossPercent, "deadly": &s.deadly, "deadlySubjects": &s.deadlySubjects,
-			"crashPercent": &s.crashPercent, "flapPerSecond": &s.flapPerSecond, "killAt": &s.killAt, "killPercent": &s.killPercent,
+			"badUpstreams": &s.badUpstreams, "badPercent": &s.badPercent, "crashPercent": &s.crashPercent, "flapPerSecond": &s.flapPerSecond, "killAt": &s.killAt, "killPercent": &s.killPercent,
 			"lengthMs": &s.lengthMs, "seeds": &s.seeds,
 		}[fields[0]]
 		if dest == nil {
@@ -281,7 +284,7 @@
 		}
 		x.upstream = i
 		x.attempts++
-		x.headerAt = now + kcclock.Millis(50+s.rnd.IntN(400))
+		x.headerAt = now + simStepMs*kcclock.Millis(10+s.rnd.IntN(80))
 		x.startAt = x.headerAt + 5
 		x.endAt = x.startAt + kcclock.Millis(s.rnd.IntN(2000))
 		u.running = append(u.running, x)
@@ -298,11 +301,13 @@
 
 func (s *sim) progress(now kcclock.Millis) {
 	for i := range s.upstreams {
-		crashed := false
+		crashed, fell := false, false
 		s.upstreams[i].running = slices.DeleteFunc(s.upstreams[i].running, func(x *simRequest) bool {
 			switch {
 			case x.deadly && now >= x.headerAt:
 				crashed = true
+			case i < s.badUpstreams && now == x.headerAt && s.rnd.IntN(100) < s.badPercent:
+				fell = true
 			case now >= x.startAt && !x.answered:
 				x.answered, x.onTrial = true, false
 				s.trackers[x.instance].Answered(x.parts)
@@ -311,6 +316,9 @@
 			}
 			return false
 		})
+		if fell && !crashed {
+			s.crash(i)
+		}
 		if crashed {
 			if s.crashes++; s.crashes == 5 {
 				s.fifthCrashAt = now
