--- a/internal/kcquarantine/load_test.go
+++ b/internal/kcquarantine/load_test.go
@@ -60,7 +60,8 @@
 		dest := map[string]*int{
 			"instances": &s.instances, "upstreams": &s.upstreams, "subjects": &s.subjects, "ratePerSecond": &s.ratePerSecond,
 			"lossPercent": &s.lossPercent, "deadly": &s.deadly, "deadlySubjects": &s.deadlySubjects,
-			"badUpstreams": &s.badUpstreams, "badPercent": &s.badPercent, "crashPercent": &s.crashPercent, "flapPerSecond": &s.flapPerSecond, "killAt": &s.killAt, "killPercent": &s.killPercent,
+			"badUpstreams": &s.badUpstreams, "badPercent": &s.badPercent,
+			"crashPercent": &s.crashPercent, "flapPerSecond": &s.flapPerSecond, "killAt": &s.killAt, "killPercent": &s.killPercent,
 			"lengthMs": &s.lengthMs, "seeds": &s.seeds,
 		}[fields[0]]
 		if dest == nil {
