kcquarantine: Wait for the trial of another request instead of rejecting

Change: while a trial runs, requests wait for its end for as long as they may wait. A request whose trial has crashed does not end the next trial of its instance.

Figures: TestRequestWaitsForTheTrialOfAnother fails before.

--- a/internal/kcentry/quarantine.go
+++ b/internal/kcentry/quarantine.go
@@ -33,8 +33,10 @@
 	ex *Exchange
 	kcquarantine.Request
 	// waitLeftMs is how long the request may still wait for its trial.
-	waitLeftMs        kcclock.Millis
-	onTrial, answered bool
+	waitLeftMs kcclock.Millis
+	// onTrial is true while the request runs on trial, trialOver once a crash has
+	// ended its trial, answered once an engine has begun to answer.
+	onTrial, trialOver, answered bool
 }
 
 // newChatQuarantine takes the messages of a request for the parts of its prompt. The
@@ -118,6 +120,7 @@
 		return
 	}
 	now := q.s.Clock.Now()
+	q.trialOver = q.onTrial
 	q.Crashed = q.Crashed || phase == kcquarantine.Answering
 	q.s.Metrics.Count("quarantine.crash")
 	q.s.Log.Warn("upstream crashed under a request", "request", q.ex.ID, "workspace", q.ex.WorkspaceName, "upstream", m.ID,
@@ -130,7 +133,7 @@
 
 // end ends a trial that showed nothing.
 func (q *chatQuarantine) end() {
-	if q.onTrial {
+	if q.onTrial && !q.trialOver {
 		q.s.Quarantine.EndTrial(q.Parts)
 	}
 }
--- a/internal/kcgate/quarantine.go
+++ b/internal/kcgate/quarantine.go
@@ -13,12 +13,14 @@
 
 // quarantineState tells how a request stands to crashes of upstreams.
 type quarantineState struct {
-	// Parts are the parts of the prompt that other requests may share.
+	// Request holds the parts of the prompt that other requests may share. It has
+	// none if there are none.
 	kcquarantine.Request
 	// waitLeftMs is how long the request may still wait for its trial.
 	waitLeftMs kcclock.Millis
-	// onTrial is true while the request runs on trial.
-	onTrial bool
+	// onTrial is true while the request runs on trial, trialOver once a crash has
+	// ended its trial.
+	onTrial, trialOver bool
 	// answered is true once an upstream has begun to answer.
 	answered bool
 }
@@ -85,7 +87,7 @@
 
 // endTrial ends a trial that showed nothing.
 func (x *exchange) endTrial() {
-	if x.quarantine.onTrial {
+	if x.quarantine.onTrial && !x.quarantine.trialOver {
 		x.g.Quarantine.EndTrial(x.quarantine.Parts)
 	}
 }
@@ -109,6 +111,7 @@
 		return
 	}
 	now := x.g.Clock.Now()
+	q.trialOver = q.onTrial
 	x.g.Metrics.Count("quarantine.crash")
 	x.g.Log.LogAttrs(ctx, slog.LevelWarn, "upstream crashed under a request", slog.String("request", x.meta.ID),
 		slog.String("workspace", x.workspace), slog.String("upstream", c.ID), slog.String("phase", a.progress.String()),
--- a/internal/kcquarantine/admit.go
+++ b/internal/kcquarantine/admit.go
@@ -34,8 +34,10 @@
 	// in a row that speak against it.
 	Part     Part
 	Failures int
-	// WaitMs is the time until the next trial.
-	WaitMs kcclock.Millis
+	// WaitMs is the time until the next trial. TrialRuns is true if it is that until
+	// the end of a trial which runs, which usually ends much sooner.
+	WaitMs    kcclock.Millis
+	TrialRuns bool
 	// Changed is closed when the decision may have changed.
 	Changed <-chan struct{}
 }
@@ -66,9 +68,9 @@
 	}
 }
 
-// Admit decides whether a request may be sent. It answers few
-// requests that crash their upstreams among many that do not, with evidence that
-// is some ten milliseconds old.
+// Admit decides whether a request may be sent. It answers loads with few requests
+// that crash their upstreams among many that do not, and evidence that is some ten
+// milliseconds old.
 func (t *Tracker) Admit(r Request) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -98,12 +100,12 @@
 		if n == 0 {
 			continue
 		}
-		s := t.suspects[p]
-		if s.trialUntil > now {
-			at = max(at, s.trialUntil)
+		runs := t.suspects[p].trialUntil > max(at, now)
+		if runs {
+			at = t.suspects[p].trialUntil
 		}
 		if wait := max(at-now, 0); d.Failures == 0 || wait > d.WaitMs {
-			d.Part, d.Failures, d.WaitMs = p, n, wait
+			d.Part, d.Failures, d.WaitMs, d.TrialRuns = p, n, wait, runs
 		}
 	}
 	switch {
@@ -122,21 +124,23 @@
 
 // Await waits until a request may be sent, and returns a decision that is not Wait.
 // It waits for *leftMs at most, of which it takes what it has waited, and rejects
-// at once a request that it would have to hold for longer.
+// at once a request that it would have to hold for longer. The end of a trial may
+// come at any time, so it is waited for.
 func (t *Tracker) Await(ctx context.Context, r Request, leftMs *kcclock.Millis) Decision {
 	for {
 		d := t.Admit(r)
 		if d.Action != Wait {
 			return d
 		}
-		if d.WaitMs > *leftMs || ctx.Err() != nil {
+		tooLong := d.WaitMs > *leftMs && (!d.TrialRuns || *leftMs <= 0)
+		if tooLong || ctx.Err() != nil {
 			d.Action = Reject
 			return d
 		}
 		start := t.opts.Clock.Now()
 		select {
 		case <-d.Changed:
-		case <-t.opts.Clock.After(d.WaitMs):
+		case <-t.opts.Clock.After(min(d.WaitMs, *leftMs)):
 		case <-ctx.Done():
 		}
 		*leftMs -= t.opts.Clock.Now() - start
--- a/internal/kcquarantine/tracker_test.go
+++ b/internal/kcquarantine/tracker_test.go
@@ -287,6 +287,22 @@
 	}
 }
 
+// Guards against a sound request that is rejected because another one is on trial.
+func TestRequestWaitsForTheTrialOfAnother(t *testing.T) {
+	f := newFixture("i")
+	f.crash(1, "subject")
+	f.clock.Advance(kcclock.Second)
+	f.wantAction(t, kcquarantine.Trial, 1, "subject")
+	go func() {
+		f.clock.AwaitWaiters(1)
+		f.Answered(parts("subject"))
+	}()
+	left := kcclock.Second // the trial may run for longer
+	if d := f.Await(t.Context(), kcquarantine.Request{Parts: parts("subject"), Workspace: 1}, &left); d.Action != kcquarantine.Send {
+		t.Errorf("%+v", d)
+	}
+}
+
 // Guards against two trials of one part at two instances that hear each other.
 func TestTrialsExcludeEachOther(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
