kcgate: End the limit of an upstream with its process

Cause: found in reading. Peers tell limits by the id of the upstream, which a new process may have. A peer that has not heard of the new one told the old limit again, and it held until a response named none.

Change: the report carries the start time of the process. TestLimitEndsWithItsProcess fails before.

--- a/internal/kcgate/limit_load_test.go
+++ b/internal/kcgate/limit_load_test.go
@@ -281,3 +281,31 @@
 		t.Errorf("%d requests were rejected although other upstreams had room", s.rejected)
 	}
 }
+
+// Guards against a limit that outlives the process which named it: the next one has
+// its id, and a peer has not heard of it yet.
+func TestLimitEndsWithItsProcess(t *testing.T) {
+	clock := kcclock.NewManual(1_000_000)
+	newList := func(name string) *Upstreams {
+		l := NewUpstreams(clock, "z", map[string]string{"z": "r"})
+		l.instance = name
+		l.Replace([]kctable.Upstream{{ID: "u", Service: "s", Zone: "z", Version: "v", StartedAtMs: 1}}, false)
+		return l
+	}
+	own, peer := newList("own"), newList("peer")
+	pick := func(l *Upstreams) (*pickedUpstream, bool) {
+		return l.pick(pickCriteria{service: "s", allowsVersion: anyVersion})
+	}
+	c, _ := pick(peer)
+	peer.recordLimit(c, ResponseMeta{FromApplication: true, HasLimit: true, LimitPerSecond: 0.1})
+	r, _ := peer.LimitReport()
+	own.MergeLimits(r)
+	if _, ok := pick(own); ok {
+		t.Error("the limit of a peer is not kept")
+	}
+	own.Upsert(kctable.Upstream{ID: "u", Service: "s", Zone: "z", Version: "v", StartedAtMs: 2})
+	own.MergeLimits(r)
+	if _, ok := pick(own); !ok {
+		t.Error("the limit of the process before is kept")
+	}
+}
--- a/internal/kcgate/upstream_limit.go
+++ b/internal/kcgate/upstream_limit.go
@@ -135,18 +135,22 @@
 		}
 		lim.reportAt = now + limitReportIntervalMs
 		lim.reportsLeft = max(lim.reportsLeft-1, 0)
-		r.Limits = append(r.Limits, kcload.UpstreamLimit{Upstream: u.ID, PerSecond: lim.PerSecond, At: lim.At})
+		r.Limits = append(r.Limits, kcload.UpstreamLimit{
+			Upstream: u.ID, StartedAtMs: u.StartedAtMs, PerSecond: lim.PerSecond, At: lim.At,
+		})
 	}
 	return r, len(r.Limits) > 0
 }
 
-// MergeLimits adds what a peer has heard about limits.
+// MergeLimits adds what a peer has heard about limits. A limit ends with the process
+// that has named it.
 func (l *Upstreams) MergeLimits(r kcload.LimitReport) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, x := range r.Limits {
-		if u := l.byID[x.Upstream]; u != nil && (x.PerSecond >= 0 || u.limit != nil) {
+		u := l.byID[x.Upstream]
+		if u != nil && u.StartedAtMs == x.StartedAtMs && (x.PerSecond >= 0 || u.limit != nil) {
 			l.setLimit(u, x.PerSecond, min(x.At, now), r.Instance)
 		}
 	}
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -124,7 +124,7 @@
 		want := kcload.LimitReport{Instance: rapid.StringN(1, 20, 60).Draw(t, "name")}
 		for range rapid.IntRange(0, 100).Draw(t, "limits") {
 			want.Limits = append(want.Limits, kcload.UpstreamLimit{
-				Upstream:  rapid.StringN(0, 12, 24).Draw(t, "upstream"),
+				Upstream: rapid.StringN(0, 12, 24).Draw(t, "upstream"), StartedAtMs: rapid.Int64Min(0).Draw(t, "startedAt"),
 				PerSecond: rapid.Float64Range(-1, 1e6).Draw(t, "perSecond"),
 				At:        now - kcclock.Millis(rapid.IntRange(0, 1_000_000).Draw(t, "age")),
 			})
--- a/internal/kcload/limits.go
+++ b/internal/kcload/limits.go
@@ -20,6 +20,8 @@
 // UpstreamLimit is the limit of an upstream.
 type UpstreamLimit struct {
 	Upstream string
+	// StartedAtMs tells the process of the upstream from others with its id.
+	StartedAtMs int64
 	// PerSecond is in requests a second, or negative if the upstream no longer
 	// names a limit.
 	PerSecond float64
@@ -38,6 +40,7 @@
 	b := head[:len(head):len(head)]
 	for _, u := range r.Limits {
 		next := appendString(b, u.Upstream)
+		next = binary.AppendUvarint(next, uint64(max(u.StartedAtMs, 0)))
 		next = binary.BigEndian.AppendUint64(next, math.Float64bits(u.PerSecond))
 		next = appendAge(next, now-u.At)
 		if len(next) > MaxMessageBytes {
@@ -57,7 +60,8 @@
 	d := decoder{b: raw[1:]}
 	r := LimitReport{Instance: d.string()}
 	for len(d.b) > 0 && d.err == nil {
-		u := UpstreamLimit{Upstream: d.string(), PerSecond: math.Float64frombits(d.uint64()), At: now - d.millis()}
+		u := UpstreamLimit{Upstream: d.string(), StartedAtMs: int64(d.uvarint() & math.MaxInt64)}
+		u.PerSecond, u.At = math.Float64frombits(d.uint64()), now-d.millis()
 		if d.err == nil && !math.IsNaN(u.PerSecond) {
 			r.Limits = append(r.Limits, u)
 		}
