--- a/internal/kcedge/quarantine.go
+++ b/internal/kcedge/quarantine.go
@@ -64,14 +64,8 @@
 // sendQuarantine tells the peers of all regions what this instance knows about
 // crashing prompt parts.
 func (p *peers) sendQuarantine(now kcclock.Millis) {
-	r, ok := p.edge.gate.Quarantine.Outgoing()
-	if !ok {
-		return
-	}
-	to := p.allRegions()
-	for _, raw := range kcload.EncodeQuarantineReport(r, now) {
-		p.edge.metrics.Count("peers.quarantineTold")
-		p.send(raw, to)
+	if r, ok := p.edge.gate.Quarantine.Outgoing(); ok {
+		p.tellAll("peers.quarantineTold", kcload.EncodeQuarantineReport(r, now))
 	}
 }
 
--- a/internal/kcedge/reports.go
+++ b/internal/kcedge/reports.go
@@ -94,13 +94,16 @@
 // sendLimits tells the peers of all regions what upstreams say about the requests
 // that they take.
 func (p *peers) sendLimits(now kcclock.Millis) {
-	r, ok := p.edge.gate.Upstreams.LimitReport()
-	if !ok {
-		return
+	if r, ok := p.edge.gate.Upstreams.LimitReport(); ok {
+		p.tellAll("peers.limitsTold", kcload.EncodeLimitReport(r, now))
 	}
+}
+
+// tellAll sends messages to the peers of all regions and counts them.
+func (p *peers) tellAll(counter string, messages [][]byte) {
 	to := p.allRegions()
-	for _, raw := range kcload.EncodeLimitReport(r, now) {
-		p.edge.metrics.Count("peers.limitsTold")
+	for _, raw := range messages {
+		p.edge.metrics.Count(counter)
 		p.send(raw, to)
 	}
 }
--- a/internal/kcquarantine/tracker.go
+++ b/internal/kcquarantine/tracker.go
@@ -60,7 +60,12 @@
 )
 
 // String returns the name that is written to logs.
-func (p Phase) String() string { return [...]string{"reading", "answering"}[p] }
+func (p Phase) String() string {
+	if p == Answering {
+		return "answering"
+	}
+	return "reading"
+}
 
 // Evidence tells what one request held when its upstream crashed.
 type Evidence struct {
@@ -125,8 +130,8 @@
 	maxCrashes  = 256
 	// maxCrashesPerPart bounds the crashes that are remembered of one part.
 	maxCrashesPerPart = 8
-	// maxPartsPerRequest bounds the parts of one request that are considered, the
-	// longest-shared ones first.
+	// maxPartsPerRequest bounds the parts of one request that are considered: the
+	// first ones, which most requests share.
 	maxPartsPerRequest = 16
 	// maxAnswered bounds each of the two generations of answered parts.
 	maxAnswered = 4096
@@ -228,7 +233,8 @@
 	})
 }
 
-// Crashed records that an upstream crashed under a request of this instance.
+// Crashed records that an upstream crashed under a request of this instance. It
+// ends the trial of the parts, if this instance has one.
 func (t *Tracker) Crashed(e Evidence) {
 	now := t.opts.Clock.Now()
 	t.mu.Lock()
