kcrollout: Take very slow answers as a signal of their own

Change: answers that take twice as long as the threshold of slow ones are counted by themselves. They are weighed like slow ones.

TestVerySlowAnswersTellMore: 275 of 400 slow versions were completed without the signal, 7 with it; no good one was stopped.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -181,7 +181,7 @@
 func (x *exchange) tryUpstream(ctx context.Context, c *pickedUpstream, model string) attemptResult {
 	now := x.g.Clock.Now()
 	x.attempts = append(x.attempts, x.newAttempt(c, model, now))
-	x.attemptSlow, x.latencyKnown, x.slowRecorded = false, false, false
+	x.attemptSlow, x.attemptVerySlow, x.latencyKnown, x.slowRecorded = false, false, false, false
 	last := len(x.attempts) - 1
 	finish := func(e execution, detail string) {
 		s := &x.attempts[last]
@@ -269,6 +269,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errUpstreamSilent):
 		x.g.Rollouts.recordOutcome(x.service, c, x.route.Name, kcrollout.Slow, true)
+		x.g.Rollouts.recordOutcome(x.service, c, x.route.Name, kcrollout.VerySlow, true)
 	case ctx.Err() == nil && x.g.Upstreams.recordInterruption(c):
 		x.recordOutcome(c, true)
 	}
@@ -373,6 +374,7 @@
 	if x.latencyKnown && !x.slowRecorded {
 		x.slowRecorded = true
 		x.g.Rollouts.recordOutcome(x.service, c, "", kcrollout.Slow, x.attemptSlow)
+		x.g.Rollouts.recordOutcome(x.service, c, "", kcrollout.VerySlow, x.attemptVerySlow)
 	}
 }
 
@@ -380,7 +382,9 @@
 // Versions under rollout do not contribute to the usual latencies.
 func (x *exchange) classifyLatency(c *pickedUpstream, key string, v, factor float64) {
 	slow, known := x.g.latencies.isSlow(key, v, factor)
+	verySlow, _ := x.g.latencies.isSlow(key, v/verySlowFactor, factor)
 	x.attemptSlow, x.latencyKnown = x.attemptSlow || slow, x.latencyKnown || known
+	x.attemptVerySlow = x.attemptVerySlow || verySlow
 	if !x.g.Rollouts.isRolloutTarget(x.service, c.Version) {
 		x.g.latencies.observe(key, v)
 	}
--- a/internal/kcgate/outlier.go
+++ b/internal/kcgate/outlier.go
@@ -87,10 +87,10 @@
 	for name, strata := range single {
 		for stratum, t := range strata {
 			if skipped.Has(name) {
-				t = kcrollout.Tally{kcrollout.Slow: t[kcrollout.Slow]}
+				t = kcrollout.Tally{kcrollout.Slow: t[kcrollout.Slow], kcrollout.VerySlow: t[kcrollout.VerySlow]}
 			}
 			if slowOnes.Has(name) {
-				t[kcrollout.Slow] = kcrollout.Count{}
+				t[kcrollout.Slow], t[kcrollout.VerySlow] = kcrollout.Count{}, kcrollout.Count{}
 			}
 			sum[stratum] = sum[stratum].Plus(t)
 		}
--- a/internal/kcgate/pace.go
+++ b/internal/kcgate/pace.go
@@ -118,6 +118,9 @@
 	// down only some requests, but much more.
 	engineSlowFactor = 1.7
 	unarySlowFactor  = 3
+	// verySlowFactor is the ratio of a very slow latency to the threshold of slow
+	// ones.
+	verySlowFactor = 2
 	// minLatencySamples is the number of samples from which a threshold is known.
 	minLatencySamples = 12
 	// minPauseEvents is the number of events from which the mean pause between
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -334,7 +334,7 @@
 	now := x.g.Clock.Now()
 	s := x.newAttempt(c, model, now)
 	s.execution = maybeRan
-	x.attemptSlow, x.latencyKnown, x.slowRecorded = false, false, false
+	x.attemptSlow, x.attemptVerySlow, x.latencyKnown, x.slowRecorded = false, false, false, false
 	defer func() {
 		s.tookMs = x.g.Clock.Now() - now
 		x.attempts = append(x.attempts, s)
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -95,6 +95,8 @@
 	// attemptSlow is true if the last attempt took much longer than usual.
 	// latencyKnown is true if there were enough samples to tell.
 	attemptSlow, latencyKnown bool
+	// attemptVerySlow is true if it took several times as long as that.
+	attemptVerySlow bool
 	// slowRecorded is true once attemptSlow was added to the evidence of a rollout.
 	slowRecorded bool
 	// headerWritten is true once the headers of the response are written.
--- a/internal/kcinstance/decisions.go
+++ b/internal/kcinstance/decisions.go
@@ -108,6 +108,7 @@
 		Version: arm.Version, Stratum: arm.Stratum,
 		Requests: t[kcrollout.Failure].Total, Errors: t[kcrollout.Failure].Bad,
 		Generated: t[kcrollout.Slow].Total, Slow: t[kcrollout.Slow].Bad,
+		Timed: t[kcrollout.VerySlow].Total, VerySlow: t[kcrollout.VerySlow].Bad,
 		Checked: t[kcrollout.FailedCheck].Total, FailedCheck: t[kcrollout.FailedCheck].Bad,
 		RatedGood: t[kcrollout.BadRating].Total - t[kcrollout.BadRating].Bad, RatedBad: t[kcrollout.BadRating].Bad,
 	}
@@ -121,6 +122,7 @@
 	var t kcrollout.Tally
 	t[kcrollout.Failure] = kcrollout.Count{Bad: e.Errors, Total: e.Requests}
 	t[kcrollout.Slow] = kcrollout.Count{Bad: e.Slow, Total: e.Generated}
+	t[kcrollout.VerySlow] = kcrollout.Count{Bad: e.VerySlow, Total: e.Timed}
 	t[kcrollout.FailedCheck] = kcrollout.Count{Bad: e.FailedCheck, Total: e.Checked}
 	t[kcrollout.BadRating] = kcrollout.Count{Bad: e.RatedBad, Total: e.RatedGood + e.RatedBad}
 	return t
--- a/internal/kcrollout/detector.go
+++ b/internal/kcrollout/detector.go
@@ -1,6 +1,7 @@
 package kcrollout
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -15,7 +16,7 @@
 
 // toleratedIncreases holds, per signal, the increase of the bad share that does
 // not justify a stop.
-var toleratedIncreases = [signalCount]float64{BadRating: 0.02, FailedCheck: 0.02, Failure: 0.01, Slow: 0.05}
+var toleratedIncreases = [signalCount]float64{BadRating: 0.02, FailedCheck: 0.02, Failure: 0.01, Slow: 0.05, VerySlow: 0.05}
 
 // minReferenceEvents is the least number of events for a reference rate. A
 // stratum without a reference is not tested.
@@ -50,21 +51,21 @@
 	// is still detected.
 	initial     Strata
 	startPoints float64
-	// starts holds the newest starting points of the test of Slow.
+	// starts holds the newest starting points of the tests of latency.
 	starts []start
 	// startInterval is the time between starting points.
 	startInterval kcclock.Millis
 	startedAt     kcclock.Millis
 }
 
-// start is a starting point of the test of Slow. Whether an answer is slow depends
+// start is a starting point of the tests of latency. Whether an answer is slow depends
 // on the usual times, which are known well only later, and so is the share of slow
 // answers of the old version. All answers since a starting point are therefore
 // compared with the newest reference, and not each with that of its time.
 type start struct {
 	logWeight float64
-	// observed holds the counts of Slow at the starting point per stratum.
-	observed map[string]Count
+	// observed holds the counts at the starting point.
+	observed Strata
 }
 
 // maxStarts bounds the starting points that are kept.
@@ -99,10 +100,7 @@
 func (d *Detector) addStartPoint() {
 	d.startPoints++
 	w := -math.Log(startWeightNorm * d.startPoints * math.Pow(math.Log(d.startPoints+1), 2))
-	observed := make(map[string]Count, len(d.observed))
-	for stratum, t := range d.observed {
-		observed[stratum] = t[Slow]
-	}
+	observed := maps.Clone(d.observed)
 	if len(d.starts) == maxStarts {
 		d.starts = slices.Delete(d.starts, 1, 2)
 	}
@@ -123,7 +121,7 @@
 	for stratum, t := range fresh {
 		delta := t.Minus(d.observed[stratum])
 		for s := range delta {
-			if Signal(s) == Slow {
+			if isLatency(Signal(s)) {
 				continue
 			}
 			d.observeSignal(Signal(s), delta[s], old[stratum][s], d.initial[stratum][s])
@@ -138,21 +136,25 @@
 		d.initial[stratum] = initial
 		d.observed[stratum] = d.observed[stratum].Plus(delta)
 	}
-	d.weighSlow(old)
+	d.weighLatency(Slow, old)
+	d.weighLatency(VerySlow, old)
 }
 
-// weighSlow computes the evidence of Slow from all answers since each starting
+// isLatency reports whether a signal tells how long answers took.
+func isLatency(s Signal) bool { return s == Slow || s == VerySlow }
+
+// weighLatency computes the evidence of a latency signal from all answers since each starting
 // point.
-func (d *Detector) weighSlow(old Strata) {
-	for i := range d.mixtures[Slow] {
-		d.mixtures[Slow][i].logSum = math.Inf(-1)
+func (d *Detector) weighLatency(s Signal, old Strata) {
+	for i := range d.mixtures[s] {
+		d.mixtures[s][i].logSum = math.Inf(-1)
 	}
 	for _, from := range d.starts {
 		var ratios [len(detectedIncreases)]float64
 		for stratum, t := range d.observed {
-			since := from.observed[stratum]
-			reference := old[stratum][Slow]
-			if initial := d.initial[stratum][Slow]; reference.Total < minReferenceEvents {
+			since := from.observed[stratum][s]
+			reference := old[stratum][s]
+			if initial := d.initial[stratum][s]; reference.Total < minReferenceEvents {
 				// The first answers of the new version are the reference, so
 				// they are not tested.
 				reference = initial
@@ -163,11 +165,11 @@
 			if reference.Total < minReferenceEvents {
 				continue
 			}
-			bad, all := t[Slow].Bad-since.Bad, t[Slow].Total-since.Total
-			addLogRatios(&ratios, Slow, max(bad, 0), max(all-max(bad, 0), 0), reference)
+			bad, all := t[s].Bad-since.Bad, t[s].Total-since.Total
+			addLogRatios(&ratios, s, max(bad, 0), max(all-max(bad, 0), 0), reference)
 		}
 		for i, ratio := range ratios {
-			m := &d.mixtures[Slow][i]
+			m := &d.mixtures[s][i]
 			m.logSum = logSumExp(m.logSum, from.logWeight+ratio)
 		}
 	}
--- a/internal/kcrollout/evidence.go
+++ b/internal/kcrollout/evidence.go
@@ -19,12 +19,16 @@
 	// the first to the last token. The time to the first token says nothing
 	// about the version.
 	Slow
+	// VerySlow counts answers that took several times as long as usual. Few of a
+	// version that is as fast as the old one do, so that it needs fewer answers
+	// than Slow to tell.
+	VerySlow
 	signalCount
 )
 
 // String returns the name of the signal.
 func (s Signal) String() string {
-	return [...]string{"badRating", "failedCheck", "error", "slow"}[s]
+	return [...]string{"badRating", "failedCheck", "error", "slow", "verySlow"}[s]
 }
 
 // Count is the number of events of one signal and of the bad ones among them.
--- a/internal/kcrollout/late_reference_test.go
+++ b/internal/kcrollout/late_reference_test.go
@@ -119,3 +119,58 @@
 		t.Errorf("%d of %d good versions were reverted", reverted, seeds)
 	}
 }
+
+// Guards against a version that is slow in half of its answers and completed,
+// because two in five of the old version count as slow as well.
+func TestVerySlowAnswersTellMore(t *testing.T) {
+	const seeds, answers, span = 400, 40, 14_000 * kcclock.Millisecond
+	order := kctable.RolloutOrder{Service: "s", Target: "v2", TimeLimitMs: span, Offset: 1}
+	conclude := func(seed uint64, slowShare, verySlowShare float64) kctable.RolloutState {
+		rnd := rand.New(rand.NewPCG(seed, 8))
+		det, fresh, old := kcrollout.NewOrderDetector(0, order), kcrollout.Strata{}, kcrollout.Strata{}
+		add := func(s kcrollout.Strata, slow, verySlow float64) {
+			point, t := rnd.Float64(), s["r"]
+			t.Add(kcrollout.Failure, false)
+			t.Add(kcrollout.Slow, point < slow)
+			t.Add(kcrollout.VerySlow, point < verySlow)
+			s["r"] = t
+		}
+		v := kcrollout.OrderView{
+			Order: order, ProgressKnown: true, ProgressFresh: true, ExposureShare: exposureShare,
+			Progress: kctable.RolloutProgress{Service: "s", Target: "v2", OrderOffset: 1, TargetServing: true},
+		}
+		for n := range answers {
+			add(fresh, slowShare, verySlowShare)
+			for range 20 {
+				add(old, 0.4, 0.1)
+			}
+			v.Elapsed = kcclock.Millis(n) * span / answers
+			det.Observe(v.Elapsed, fresh, old)
+		}
+		for ; v.Elapsed <= span; v.Elapsed += 250 {
+			if next, ok := kcrollout.NextProgress(v, det); ok {
+				if v.Progress = next; next.State != kctable.RolloutRunning {
+					break
+				}
+			}
+		}
+		return v.Progress.State
+	}
+	completed, reverted := 0, 0
+	for seed := range uint64(seeds) {
+		if conclude(seed, 0.65, 0.5) == kctable.RolloutComplete {
+			completed++
+		}
+		if conclude(seed, 0.4, 0.1) != kctable.RolloutComplete {
+			reverted++
+		}
+	}
+	t.Logf("%d of %d slow versions completed, %d good ones not", completed, seeds, reverted)
+	if completed > seeds/20 {
+		t.Errorf("%d of %d slow versions were completed", completed, seeds)
+	}
+	// A good version may be stopped in one order of a hundred.
+	if reverted > seeds/100 {
+		t.Errorf("%d of %d good versions were not completed", reverted, seeds)
+	}
+}
--- a/internal/kcrollout/order.go
+++ b/internal/kcrollout/order.go
@@ -60,7 +60,7 @@
 	for s := range signalCount {
 		limit := maxLogEvidence
 		switch {
-		case final && s == Slow:
+		case final && isLatency(s):
 			limit = maxFinalSlowEvidence
 		case final:
 			limit = maxFinalLogEvidence
