--- a/internal/kcrollout/detector.go
+++ b/internal/kcrollout/detector.go
@@ -143,8 +143,8 @@
 // isLatency reports whether a signal tells how long answers took.
 func isLatency(s Signal) bool { return s == Slow || s == VerySlow }
 
-// weighLatency computes the evidence of a latency signal from all answers since each starting
-// point.
+// weighLatency computes the evidence of a latency signal from all answers since each
+// starting point.
 func (d *Detector) weighLatency(s Signal, old Strata) {
 	for i := range d.mixtures[s] {
 		d.mixtures[s][i].logSum = math.Inf(-1)
