--- a/internal/kcinstance/quarantine_test.go
+++ b/internal/kcinstance/quarantine_test.go
@@ -84,3 +84,38 @@
 		t.Errorf("%d requests with the deadly message reached engines, want 3 at most", n)
 	}
 }
+
+// Guards against sound requests that are refused because engines crashed under them
+// for another reason than what they hold.
+func TestRequestsUnderUnrelatedCrashesAreServed(t *testing.T) {
+	var chats atomic.Int64
+	var engines []*testEngine
+	for range 6 {
+		e := newTestEngine(nil, nil)
+		e.chat = func(w http.ResponseWriter, _ *http.Request, id string) {
+			if n := chats.Add(1); n == 3 || n == 8 {
+				_ = http.NewResponseController(w).Flush()
+				_ = e.server.Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			writeEvent(w, id, 0, "fine")
+			writeDone(w)
+		}
+		engines = append(engines, e)
+	}
+	i := startInstance(t, withEngines(t, engines...))
+	refused := 0
+	const requests = 20
+	for n := range requests {
+		const format = `{"model":"custom","stream":true,"messages":[{"role":"system","content":"s"},{"role":"user","content":"%d"}]}`
+		resp := i.postChat(context.Background(), t, fmt.Sprintf(format, n), "Kingcuprail-Max-Wait-Ms", "30000")
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || !bytes.Contains(body, []byte("fine")) {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d sound requests were not served", refused, requests)
+	}
+}
--- a/internal/kcquarantine/tracker_test.go
+++ b/internal/kcquarantine/tracker_test.go
@@ -348,3 +348,12 @@
 		}
 	})
 }
+
+// Guards against a stored block with an unknown phase that stops the process when
+// it is logged.
+func TestBlockOfUnknownPhaseIsLogged(t *testing.T) {
+	b := kcquarantine.Block{Evidence: []kcquarantine.Evidence{{Upstream: "u", Phase: 7}}}
+	if got := b.LogValue().String(); got != "u,-0ms,reading," {
+		t.Errorf("%q", got)
+	}
+}
