--- a/internal/kcedge/quarantine_test.go
+++ b/internal/kcedge/quarantine_test.go
@@ -23,13 +23,13 @@
 	var upstreams []*kcplatformtest.Upstream
 	for n := range 12 {
 		u := kcplatformtest.NewUpstream(t, "x", fmt.Sprint("u", n), "za", "v1")
-		u.SetFaults(kcplatformtest.UpstreamFaults{DeadlyPart: "deadly"})
+		u.SetFaults(kcplatformtest.UpstreamFaults{CrashingPart: "crashing"})
 		u.Publish(store, nil)
 		upstreams = append(upstreams, u)
 	}
 	crashes := func() (n int) {
 		for _, u := range upstreams {
-			n += len(u.DeadlyRuns())
+			n += len(u.CrashingRuns())
 		}
 		return n
 	}
@@ -54,10 +54,10 @@
 	}
 	instances := []*testInstance{startInstance("a", "za"), startInstance("b", "zb"), startInstance("c", "za")}
 	waitUntil(func() bool {
-		if store.Latest("keyed.status", "quarantine/"+kcquarantine.PartOf("deadly").String()) != "" {
+		if store.Latest("keyed.status", "quarantine/"+kcquarantine.PartOf("crashing").String()) != "" {
 			return true
 		}
-		request(instances[n%len(instances)], "deadly")
+		request(instances[n%len(instances)], "crashing")
 		return false
 	})
 	blockedAfter := crashes()
@@ -65,7 +65,7 @@
 	for _, p := range append(instances, late) {
 		waitUntil(func() bool { return request(p, "sound") == http.StatusOK })
 		for range 5 {
-			if got := request(p, "deadly"); got != http.StatusServiceUnavailable {
+			if got := request(p, "crashing"); got != http.StatusServiceUnavailable {
 				t.Errorf("status %d for a blocked part", got)
 			}
 		}
--- a/internal/kcgate/crashing_part_test.go
+++ b/internal/kcgate/crashing_part_test.go
@@ -11,15 +11,15 @@
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-const deadlyPart = "deadly"
+const crashingPart = "crashing"
 
 // newCrashingEngine returns an engine that ends when it begins to answer a
-// prompt with the deadly part.
+// prompt with the crashing part.
 func newCrashingEngine(t *testing.T) *engine {
 	t.Helper()
 	var e *engine
 	e = newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
-		if strings.Contains(req.Header.Get("Prefix-Hash"), deadlyPart) {
+		if strings.Contains(req.Header.Get("Prefix-Hash"), crashingPart) {
 			stream(w, req, "")
 			_ = e.ln.Close()
 			return false
@@ -52,9 +52,9 @@
 		if resp, _, err := f.request(t, "/a/x", promptHeader("sound", n)...); err != nil || resp.StatusCode != http.StatusOK {
 			t.Fatalf("sound request %d: %v, %v", n, resp, err)
 		}
-		resp, body, err := f.request(t, "/a/x", promptHeader(deadlyPart, n)...)
+		resp, body, err := f.request(t, "/a/x", promptHeader(crashingPart, n)...)
 		if err != nil || resp.StatusCode < http.StatusInternalServerError {
-			t.Errorf("request %d with the deadly part: %v %q, %v: want an error", n, resp, body, err)
+			t.Errorf("request %d with the crashing part: %v %q, %v: want an error", n, resp, body, err)
 		} else if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
 			t.Errorf("request %d is rejected without a time to come back", n)
 		}
@@ -63,14 +63,14 @@
 	sent := 0
 	for _, e := range engines {
 		for _, req := range e.requests() {
-			if strings.Contains(req.Header.Get("Prefix-Hash"), deadlyPart) {
+			if strings.Contains(req.Header.Get("Prefix-Hash"), crashingPart) {
 				sent++
 			}
 		}
 	}
 	// Three crashes give evidence enough.
 	if sent > 3 {
-		t.Errorf("%d requests with the deadly part reached upstreams, want 3 at most", sent)
+		t.Errorf("%d requests with the crashing part reached upstreams, want 3 at most", sent)
 	}
 }
 
--- a/internal/kcinstance/quarantine_sync_test.go
+++ b/internal/kcinstance/quarantine_sync_test.go
@@ -14,7 +14,7 @@
 func TestBlockCrossesDigests(t *testing.T) {
 	clock, log := kcclock.NewManual(1_000_000), slog.New(slog.DiscardHandler)
 	a, b, c := newQuarantineSync(clock, "a", log), newQuarantineSync(clock, "b", log), newQuarantineSync(clock, "c", log)
-	parts := kcquarantine.SharedParts([]string{"deadly", "own"})
+	parts := kcquarantine.SharedParts([]string{"crashing", "own"})
 	for n := range 3 {
 		clock.Advance(kcclock.Second)
 		a.Crashed(kcquarantine.Evidence{Crash: uint64(n + 1), At: clock.Now(), Phase: kcquarantine.Answering, Parts: parts})
--- a/internal/kcinstance/quarantine_test.go
+++ b/internal/kcinstance/quarantine_test.go
@@ -12,21 +12,21 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcinstance"
 )
 
-const deadlyMessage = "deadly message"
+const crashingMessage = "crashing message"
 
 // newCrashingEngines returns engines that end when they begin to answer a prompt
-// with the deadly message. deadlyRuns counts these requests.
-func newCrashingEngines(n int, deadlyRuns *atomic.Int64) []*testEngine {
+// with the crashing message. crashingRuns counts these requests.
+func newCrashingEngines(n int, crashingRuns *atomic.Int64) []*testEngine {
 	var engines []*testEngine
 	for range n {
 		e := newTestEngine(nil, nil)
 		e.chat = func(w http.ResponseWriter, r *http.Request, id string) {
-			if r.Header.Get("X-Deadly") == "" {
+			if r.Header.Get("X-Crashing") == "" {
 				writeEvent(w, id, 0, "fine")
 				writeDone(w)
 				return
 			}
-			deadlyRuns.Add(1)
+			crashingRuns.Add(1)
 			_ = http.NewResponseController(w).Flush()
 			_ = e.server.Listener.Close()
 			panic(http.ErrAbortHandler)
@@ -36,14 +36,14 @@
 	return engines
 }
 
-// ServeHTTP marks requests whose body holds the deadly message.
-type deadlyMarker struct{ next http.Handler }
+// ServeHTTP marks requests whose body holds the crashing message.
+type crashingMarker struct{ next http.Handler }
 
-func (d deadlyMarker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d crashingMarker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	if bytes.Contains(body, []byte(deadlyMessage)) {
-		r.Header.Set("X-Deadly", "1")
+	if bytes.Contains(body, []byte(crashingMessage)) {
+		r.Header.Set("X-Crashing", "1")
 	}
 	d.next.ServeHTTP(w, r)
 }
@@ -51,12 +51,12 @@
 // Guards against a message that crashes one engine after the other, in requests
 // that differ in their last message.
 func TestMessageThatCrashesEnginesIsNotSentOn(t *testing.T) {
-	var deadlyRuns atomic.Int64
-	engines := newCrashingEngines(8, &deadlyRuns)
+	var crashingRuns atomic.Int64
+	engines := newCrashingEngines(8, &crashingRuns)
 	i := startInstance(t, func(o *kcinstance.Options) {
 		withEngines(t, engines...)(o)
 		for _, e := range engines {
-			e.server.Config.Handler = deadlyMarker{e}
+			e.server.Config.Handler = crashingMarker{e}
 		}
 	})
 	send := func(system string, n int) *http.Response {
@@ -72,16 +72,16 @@
 		if resp := send("fine message", n); resp.StatusCode != http.StatusOK {
 			t.Errorf("sound request %d: status %d", n, resp.StatusCode)
 		}
-		resp := send(deadlyMessage, n)
+		resp := send(crashingMessage, n)
 		if resp.StatusCode == http.StatusOK {
-			t.Errorf("request %d with the deadly message: status 200", n)
+			t.Errorf("request %d with the crashing message: status 200", n)
 		}
 		if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
 			t.Errorf("request %d is rejected without a time to come back", n)
 		}
 	}
-	if n := deadlyRuns.Load(); n > 3 {
-		t.Errorf("%d requests with the deadly message reached engines, want 3 at most", n)
+	if n := crashingRuns.Load(); n > 3 {
+		t.Errorf("%d requests with the crashing message reached engines, want 3 at most", n)
 	}
 }
 
--- a/internal/kcquarantine/load_test.go
+++ b/internal/kcquarantine/load_test.go
@@ -21,9 +21,9 @@
 	instances, upstreams, subjects int
 	ratePerSecond                  int
 	lossPercent                    int
-	// deadly is the share of requests with a deadly part, in percent. They come
-	// from the start to the end of the load, in the subjects 0 to deadlySubjects-1.
-	deadly, deadlySubjects int
+	// crashing is the share of requests with a crashing part, in percent. They come
+	// from the start to the end of the load, in the subjects 0 to crashingSubjects-1.
+	crashing, crashingSubjects int
 	// crashAt are the times at which crashPercent of the upstreams crash at once.
 	crashAt      []int
 	crashPercent int
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := scenario{subjects: 40, deadlySubjects: 1, lengthMs: 30_000, seeds: 3}
+	s := scenario{subjects: 40, crashingSubjects: 1, lengthMs: 30_000, seeds: 3}
 	for sc := bufio.NewScanner(bytes.NewReader(raw)); sc.Scan(); {
 		fields := strings.Fields(sc.Text())
 		if len(fields) < 2 || fields[0] == "#" {
@@ -59,7 +59,7 @@
 		}
 		dest := map[string]*int{
 			"instances": &s.instances, "upstreams": &s.upstreams, "subjects": &s.subjects, "ratePerSecond": &s.ratePerSecond,
-			"lossPercent": &s.lossPercent, "deadly": &s.deadly, "deadlySubjects": &s.deadlySubjects,
+			"lossPercent": &s.lossPercent, "crashing": &s.crashing, "crashingSubjects": &s.crashingSubjects,
 			"badUpstreams": &s.badUpstreams, "badPercent": &s.badPercent,
 			"crashPercent": &s.crashPercent, "flapPerSecond": &s.flapPerSecond, "killAt": &s.killAt, "killPercent": &s.killPercent,
 			"lengthMs": &s.lengthMs, "seeds": &s.seeds,
@@ -86,7 +86,7 @@
 	instance  int
 	parts     []kcquarantine.Part
 	workspace uint64
-	deadly    bool
+	crashing  bool
 	onTrial   bool
 	answered  bool
 	crashed   bool
@@ -122,10 +122,10 @@
 	messages  []simMessage
 	requests  int
 
-	crashes                     int
-	fifthCrashAt                kcclock.Millis
-	deadlySent, deadlySentLate  int
-	sound, soundRefused, failed int
+	crashes                        int
+	fifthCrashAt                   kcclock.Millis
+	crashingSent, crashingSentLate int
+	sound, soundRefused, failed    int
 }
 
 const (
@@ -231,7 +231,7 @@
 }
 
 // arrive adds the requests of one step. A prompt has the part of its class, that
-// of its subject, possibly the deadly one, and one of its own.
+// of its subject, possibly the crashing one, and one of its own.
 func (s *sim) arrive() {
 	for range s.rnd.IntN(2*s.ratePerSecond*int(simStepMs)/1000 + 2) {
 		if s.rnd.Float64() > float64(s.ratePerSecond)*float64(simStepMs)/1000 {
@@ -239,15 +239,15 @@
 		}
 		s.requests++
 		subject := s.rnd.IntN(s.subjects)
-		x := &simRequest{instance: s.rnd.IntN(len(s.trackers)), deadly: s.rnd.IntN(100) < s.deadly}
-		if x.deadly {
-			subject = s.rnd.IntN(s.deadlySubjects)
+		x := &simRequest{instance: s.rnd.IntN(len(s.trackers)), crashing: s.rnd.IntN(100) < s.crashing}
+		if x.crashing {
+			subject = s.rnd.IntN(s.crashingSubjects)
 		} else {
 			s.sound++
 		}
 		ids := []string{fmt.Sprint("class", subject%4), fmt.Sprint("subject", subject)}
-		if x.deadly {
-			ids = append(ids, "deadly")
+		if x.crashing {
+			ids = append(ids, "crashing")
 		}
 		x.parts, x.workspace = kcquarantine.SharedParts(append(ids, "own")), uint64(subject%10)
 		s.trackers[x.instance].CountRequest(x.parts)
@@ -269,7 +269,7 @@
 		case d.Action == kcquarantine.Wait && (x.waited+d.WaitMs <= simWaitMs || d.TrialRuns && x.waited < simWaitMs):
 			x.waited += simStepMs
 			s.waiting = append(s.waiting, x)
-		case !x.deadly:
+		case !x.crashing:
 			s.soundRefused++
 		}
 	}
@@ -289,10 +289,10 @@
 		x.startAt = x.headerAt + 5
 		x.endAt = x.startAt + kcclock.Millis(s.rnd.IntN(2000))
 		u.running = append(u.running, x)
-		if x.deadly {
-			s.deadlySent++
+		if x.crashing {
+			s.crashingSent++
 			if s.fifthCrashAt > 0 && now > s.fifthCrashAt+simContactMs {
-				s.deadlySentLate++
+				s.crashingSentLate++
 			}
 		}
 		return
@@ -305,7 +305,7 @@
 		crashed, fell := false, false
 		s.upstreams[i].running = slices.DeleteFunc(s.upstreams[i].running, func(x *simRequest) bool {
 			switch {
-			case x.deadly && now >= x.headerAt:
+			case x.crashing && now >= x.headerAt:
 				crashed = true
 			case i < s.badUpstreams && now == x.headerAt && s.rnd.IntN(100) < s.badPercent:
 				fell = true
@@ -357,7 +357,7 @@
 			})
 		}
 		if x.onTrial || x.attempts >= 3 {
-			if !x.deadly {
+			if !x.crashing {
 				s.failed++
 			}
 			continue
@@ -380,10 +380,10 @@
 			t.Run(filepath.Base(path)+"/"+strconv.Itoa(seed), func(t *testing.T) {
 				s := newSim(sc, uint64(seed))
 				s.play()
-				t.Logf("%d requests; deadly: %d crashes, %d sent, %d of them late; sound: %d of %d refused, %d failed",
-					s.requests, s.crashes, s.deadlySent, s.deadlySentLate, s.soundRefused, s.sound, s.failed)
-				if s.deadlySentLate > 3 {
-					t.Errorf("%d deadly requests were sent later than %d ms after the fifth crash, allowed 3", s.deadlySentLate, simContactMs)
+				t.Logf("%d requests; crashing: %d crashes, %d sent, %d of them late; sound: %d of %d refused, %d failed",
+					s.requests, s.crashes, s.crashingSent, s.crashingSentLate, s.soundRefused, s.sound, s.failed)
+				if s.crashingSentLate > 3 {
+					t.Errorf("%d crashing requests were sent later than %d ms after the fifth crash, allowed 3", s.crashingSentLate, simContactMs)
 				}
 				if s.soundRefused*500 > s.sound {
 					t.Errorf("%d of %d sound requests were refused, allowed one in 500", s.soundRefused, s.sound)
--- a/internal/kcquarantine/tracker_test.go
+++ b/internal/kcquarantine/tracker_test.go
@@ -65,18 +65,18 @@
 func TestBlockEndsWithOneTrial(t *testing.T) {
 	f := newFixture("i")
 	for range 3 {
-		f.wantNot(t, kcquarantine.Reject, 1, "deadly")
-		f.crash(1, "deadly")
+		f.wantNot(t, kcquarantine.Reject, 1, "crashing")
+		f.crash(1, "crashing")
 	}
-	f.wantAction(t, kcquarantine.Reject, 1, "deadly")
-	d := f.admit(1, "deadly")
+	f.wantAction(t, kcquarantine.Reject, 1, "crashing")
+	d := f.admit(1, "crashing")
 	f.clock.Advance(d.WaitMs - 1)
-	f.wantAction(t, kcquarantine.Reject, 1, "deadly")
+	f.wantAction(t, kcquarantine.Reject, 1, "crashing")
 	f.clock.Advance(1)
-	f.wantAction(t, kcquarantine.Trial, 1, "deadly")
-	f.wantAction(t, kcquarantine.Reject, 1, "deadly")
-	f.Answered(parts("deadly"))
-	f.wantAction(t, kcquarantine.Send, 1, "deadly")
+	f.wantAction(t, kcquarantine.Trial, 1, "crashing")
+	f.wantAction(t, kcquarantine.Reject, 1, "crashing")
+	f.Answered(parts("crashing"))
+	f.wantAction(t, kcquarantine.Send, 1, "crashing")
 }
 
 func (f *fixture) wantNot(t *testing.T, unwanted kcquarantine.Action, workspace uint64, ids ...string) {
@@ -92,8 +92,8 @@
 	f := newFixture("i")
 	last := kcclock.Millis(0)
 	for n := range 12 {
-		f.crash(1, "deadly")
-		d := f.admit(1, "deadly")
+		f.crash(1, "crashing")
+		d := f.admit(1, "crashing")
 		if d.WaitMs < last || n < 6 && d.WaitMs == last {
 			t.Errorf("crash %d: wait of %d ms after one of %d ms", n+1, d.WaitMs, last)
 		}
@@ -106,21 +106,21 @@
 func TestPartBesideBlockedOneIsTried(t *testing.T) {
 	f := newFixture("i")
 	for range 3 {
-		f.crash(1, "subject", "deadly")
+		f.crash(1, "subject", "crashing")
 	}
-	f.wantAction(t, kcquarantine.Reject, 1, "subject", "deadly")
+	f.wantAction(t, kcquarantine.Reject, 1, "subject", "crashing")
 	f.clock.Advance(kcclock.Second)
 	f.wantAction(t, kcquarantine.Trial, 1, "subject")
 	f.Answered(parts("subject"))
 	f.wantAction(t, kcquarantine.Send, 1, "subject")
-	f.wantAction(t, kcquarantine.Reject, 1, "subject", "deadly")
+	f.wantAction(t, kcquarantine.Reject, 1, "subject", "crashing")
 	// Another part that was only seen in one of the crashes needs no trial.
 	g := newFixture("i")
 	for _, subject := range []string{"a", "b", "c"} {
-		g.crash(1, subject, "deadly")
+		g.crash(1, subject, "crashing")
 	}
 	g.wantAction(t, kcquarantine.Send, 1, "a")
-	g.wantAction(t, kcquarantine.Reject, 1, "d", "deadly")
+	g.wantAction(t, kcquarantine.Reject, 1, "d", "crashing")
 }
 
 // Guards against a workspace that blocks a part of the requests of another one.
@@ -140,13 +140,13 @@
 func TestMadeUpPartsDoNotDisplaceBlock(t *testing.T) {
 	f := newFixture("i")
 	for range 3 {
-		f.crash(1, "deadly")
+		f.crash(1, "crashing")
 	}
 	for n := range 3000 {
 		f.clock.Advance(-kcclock.Second) // all within the time of the block
 		f.crash(2, "made up "+strconv.Itoa(n), "and "+strconv.Itoa(n))
 	}
-	f.wantAction(t, kcquarantine.Reject, 1, "deadly")
+	f.wantAction(t, kcquarantine.Reject, 1, "crashing")
 	if n := f.Suspects(); n > 1024 {
 		t.Errorf("%d suspects", n)
 	}
@@ -224,7 +224,7 @@
 }
 
 // Guards against a part that is never blocked because it was answered before.
-func TestPartThatBecomesDeadlyIsBlocked(t *testing.T) {
+func TestPartThatBecomesCrashingIsBlocked(t *testing.T) {
 	f := newFixture("i")
 	f.Answered(parts("subject"))
 	for range 3 {
@@ -240,12 +240,12 @@
 func TestBlockIsSharedAndCleared(t *testing.T) {
 	a, b, late := newFixture("a"), newFixture("b"), newFixture("late")
 	for range 3 {
-		a.crash(1, "deadly")
+		a.crash(1, "crashing")
 		r, _ := a.Outgoing()
 		b.clock.Advance(a.clock.Now() - b.clock.Now())
 		b.Merge(r)
 	}
-	b.wantAction(t, kcquarantine.Reject, 1, "deadly")
+	b.wantAction(t, kcquarantine.Reject, 1, "crashing")
 	raw, err := json.Marshal(a.blocked[0])
 	var stored kcquarantine.Block
 	if err == nil {
@@ -258,21 +258,21 @@
 	if !late.Restore(stored) {
 		t.Error("the stored block changes nothing")
 	}
-	late.wantAction(t, kcquarantine.Reject, 1, "deadly")
+	late.wantAction(t, kcquarantine.Reject, 1, "crashing")
 	a.clock.Advance(kcclock.Minute)
-	a.Answered(parts("deadly"))
+	a.Answered(parts("crashing"))
 	r, _ := a.Outgoing()
 	b.clock.Advance(kcclock.Minute)
 	b.Merge(r)
-	b.wantAction(t, kcquarantine.Send, 1, "deadly")
-	late.Lift(parts("deadly")[0])
-	late.wantAction(t, kcquarantine.Send, 1, "deadly")
+	b.wantAction(t, kcquarantine.Send, 1, "crashing")
+	late.Lift(parts("crashing")[0])
+	late.wantAction(t, kcquarantine.Send, 1, "crashing")
 }
 
 // Guards against an instance that has restarted and sends what its peers suspect.
 func TestRestartedInstanceLearnsSuspects(t *testing.T) {
 	a, late := newFixture("a"), newFixture("late")
-	a.crash(1, "deadly")
+	a.crash(1, "crashing")
 	late.clock.Advance(a.clock.Now() - late.clock.Now())
 	late.Merge(a.Snapshot())
 	select {
@@ -280,8 +280,8 @@
 	default:
 		t.Error("not synced after a complete report")
 	}
-	late.wantAction(t, kcquarantine.Wait, 1, "deadly")
-	a.Answered(parts("deadly"))
+	late.wantAction(t, kcquarantine.Wait, 1, "crashing")
+	a.Answered(parts("crashing"))
 	if r := a.Snapshot(); len(r.Evidence)+len(r.Trials) > 0 || !r.Complete {
 		t.Errorf("%+v after an answer", r)
 	}
--- a/internal/kcsoak/incidents_test.go
+++ b/internal/kcsoak/incidents_test.go
@@ -24,8 +24,8 @@
 	// engineDownMs is how long an engine is down after a crash.
 	engineDownMs = 1000 * kcclock.Millisecond
 	// namedLimit is the limit in requests a second of the engine in need.
-	namedLimit = 3.0
-	deadlyPart = "deadly"
+	namedLimit   = 3.0
+	crashingPart = "crashing"
 	// listReadMs is well above the time in which instances read a change of the list
 	// of upstreams.
 	listReadMs = 1500 * kcclock.Millisecond
@@ -65,7 +65,7 @@
 	wg.Wait()
 	s.checkAttempts()
 	s.logSoundPrompts()
-	s.checkDeadlyRuns()
+	s.checkCrashingRuns()
 	s.checkLimitedArrivals()
 	s.saveLogsIfFailed()
 }
@@ -82,7 +82,7 @@
 	}
 	for n := range 8 {
 		u := kcplatformtest.NewUpstream(t, "engine", fmt.Sprintf("direct%d", n), []string{"za", "zb", "zc"}[n%3], "v1")
-		f := kcplatformtest.UpstreamFaults{DeadlyPart: deadlyPart, Unframed: n%2 == 0}
+		f := kcplatformtest.UpstreamFaults{CrashingPart: crashingPart, Unframed: n%2 == 0}
 		if n%4 == 0 {
 			f.CutOffShare = 0.1
 		}
@@ -107,14 +107,14 @@
 }
 
 // sendPrompts sends prompts to random instances until ctx ends. One in eight holds
-// the deadly part.
+// the crashing part.
 func (s *incidentRun) sendPrompts(ctx context.Context, n int) {
 	rnd := rand.New(rand.NewPCG(s.seed, uint64(n)+200))
 	for i := 0; ctx.Err() == nil; i++ {
 		c, at := kcplatformtest.NewCaller(callerTimeoutMs), s.instances[rnd.IntN(len(s.instances))]
 		middle := ""
 		if rnd.IntN(8) == 0 {
-			middle = deadlyPart + ":50,"
+			middle = crashingPart + ":50,"
 		}
 		c.Prompt = fmt.Sprintf("class:100,subject%d:100,%sown%d-%d:50", rnd.IntN(10), middle, n, i)
 		id := fmt.Sprintf("%d-%s%d-%d", s.seed, middle, n, i)
@@ -157,25 +157,25 @@
 	return out
 }
 
-// logSoundPrompts tells how many prompts without the deadly part were answered and
+// logSoundPrompts tells how many prompts without the crashing part were answered and
 // rejected.
 func (s *incidentRun) logSoundPrompts() {
 	byStatus := make(map[int]int)
 	for _, a := range s.attempts {
-		if !strings.Contains(a.ID, deadlyPart) {
+		if !strings.Contains(a.ID, crashingPart) {
 			byStatus[a.Status]++
 		}
 	}
-	s.t.Logf("seed %d: requests without the deadly part by status: %v", s.seed, byStatus)
+	s.t.Logf("seed %d: requests without the crashing part by status: %v", s.seed, byStatus)
 }
 
-// checkDeadlyRuns checks that few requests with the deadly part reach engines later
+// checkCrashingRuns checks that few requests with the crashing part reach engines later
 // than contactMs after the fifth crash, through instances without a fault since
 // then.
-func (s *incidentRun) checkDeadlyRuns() {
+func (s *incidentRun) checkCrashingRuns() {
 	var runs []kcplatformtest.Arrival
 	for _, u := range s.engines {
-		runs = append(runs, u.DeadlyRuns()...)
+		runs = append(runs, u.CrashingRuns()...)
 	}
 	slices.SortFunc(runs, func(a, b kcplatformtest.Arrival) int { return a.At.Compare(b.At) })
 	s.t.Logf("seed %d: %d crashes", s.seed, len(runs))
@@ -193,7 +193,7 @@
 		}
 	}
 	if late > 3 {
-		s.errorf("%d deadly requests of %d reached engines later than %d ms after the fifth crash, allowed 3",
+		s.errorf("%d crashing requests of %d reached engines later than %d ms after the fifth crash, allowed 3",
 			late, len(runs), contactMs)
 	}
 }
