--- a/internal/kcquarantine/load_test.go
+++ b/internal/kcquarantine/load_test.go
@@ -383,7 +383,8 @@
 				t.Logf("%d requests; crashing: %d crashes, %d sent, %d of them late; sound: %d of %d refused, %d failed",
 					s.requests, s.crashes, s.crashingSent, s.crashingSentLate, s.soundRefused, s.sound, s.failed)
 				if s.crashingSentLate > 3 {
-					t.Errorf("%d crashing requests were sent later than %d ms after the fifth crash, allowed 3", s.crashingSentLate, simContactMs)
+					t.Errorf("%d crashing requests were sent later than %d ms after the fifth crash, allowed 3",
+						s.crashingSentLate, simContactMs)
 				}
 				if s.soundRefused*500 > s.sound {
 					t.Errorf("%d of %d sound requests were refused, allowed one in 500", s.soundRefused, s.sound)
