--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -213,12 +213,18 @@
 	*process
 }
 
-// startRunner starts a runner as a process and registers it.
+// startRunner starts a runner as a process at a free address and registers it.
 func (b *bed) startRunner(service, zone, id string, slots int, args ...string) *runner {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	r := &runner{id: id, addr: ln.Addr().String(), service: service, zone: zone, slots: slots, born: time.Now().UnixMilli()}
+	addr := ln.Addr().String()
 	_ = ln.Close()
+	return b.startRunnerAt(addr, service, zone, id, slots, args...)
+}
+
+// startRunnerAt starts a runner at an address and registers it.
+func (b *bed) startRunnerAt(addr, service, zone, id string, slots int, args ...string) *runner {
+	r := &runner{id: id, addr: addr, service: service, zone: zone, slots: slots, born: time.Now().UnixMilli()}
 	self, err := os.Executable()
 	must(err)
 	cmd := exec.Command(self, append([]string{"-runner", id, "-addr", r.addr}, args...)...)
--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -59,6 +59,11 @@
 	}
 	wg.Wait()
 
+	return b.judgeStreams(answers)
+}
+
+// judgeStreams checks that no stream looks complete before its last piece.
+func (b *bed) judgeStreams(answers []answer) int {
 	short, cut, whole := 0, 0, 0
 	for _, a := range answers {
 		last := "data: " + eventData(a.id, leaveEvents-1, leaveEvents) + "\n"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 		runRunner(o)
 		return
 	}
-	cases := map[string]func(b *bed) int{"leave": playLeave, "silent": playSilent, "putback": playPutBack}
+	cases := map[string]func(b *bed) int{"leave": playLeave, "silent": playSilent, "putback": playPutBack, "crash": playCrash}
 	play := cases[*name]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
