--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 		runRunner(o)
 		return
 	}
-	cases := map[string]func(b *bed) int{"leave": playLeave, "silent": playSilent, "putback": playPutBack, "crash": playCrash}
+	cases := map[string]func(b *bed) int{"leave": playLeave, "silent": playSilent, "putback": playPutBack, "crash": playCrash, "backlog": playBacklog}
 	play := cases[*name]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // proxy forwards TCP connections to target. silence makes all connections that
@@ -17,6 +18,12 @@
 
 	mu    sync.Mutex
 	conns map[*proxyConn]bool
+	// cut is true while nothing passes.
+	cut bool
+	// perSecond, if not 0, is the number of bytes a second that pass towards the
+	// near side, over all connections. freeAt is when the link is free again.
+	perSecond int
+	freeAt    time.Time
 }
 
 type proxyConn struct {
@@ -54,6 +61,13 @@
 
 func (p *proxy) serve(near net.Conn) {
 	defer near.Close()
+	p.mu.Lock()
+	cut := p.cut
+	p.mu.Unlock()
+	if cut {
+		_, _ = io.Copy(io.Discard, near)
+		return
+	}
 	far, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
@@ -71,12 +85,12 @@
 	nearEnded := make(chan struct{})
 	go func() {
 		defer close(nearEnded)
-		pc.copy(far, near, p.watch)
+		pc.copy(far, near, func([]byte) {}, p.watch)
 	}()
 	farEnded := make(chan struct{})
 	go func() {
 		defer close(farEnded)
-		pc.copy(near, far, func([]byte) {})
+		pc.copy(near, far, func(b []byte) { p.pace(len(b)) }, func([]byte) {})
 	}()
 	select {
 	case <-nearEnded:
@@ -90,6 +104,33 @@
 	}
 }
 
+// setCut cuts the link or mends it. Open connections stay silent.
+func (p *proxy) setCut(cut bool) {
+	if cut {
+		p.silence()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+}
+
+// pace waits for as long as n bytes take on the link.
+func (p *proxy) pace(n int) {
+	p.mu.Lock()
+	if p.perSecond == 0 {
+		p.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	if p.freeAt.Before(now) {
+		p.freeAt = now
+	}
+	p.freeAt = p.freeAt.Add(time.Duration(n) * time.Second / time.Duration(p.perSecond))
+	until := p.freeAt
+	p.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // watch looks for long polls of the list of runners.
 func (p *proxy) watch(sent []byte) {
 	if bytes.Contains(sent, []byte("topic=keyed.servers")) && bytes.Contains(sent, []byte("wait_ms=")) {
@@ -109,8 +150,9 @@
 	<-p.pollSeen
 }
 
-// copy forwards src to dst until src ends, and shows what it has forwarded.
-func (c *proxyConn) copy(dst io.Writer, src io.Reader, show func([]byte)) {
+// copy forwards src to dst until src ends. It calls before and after with what it
+// forwards.
+func (c *proxyConn) copy(dst io.Writer, src io.Reader, before, after func([]byte)) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
@@ -118,10 +160,11 @@
 		silent := c.silent
 		c.mu.Unlock()
 		if n > 0 && !silent {
+			before(buf[:n])
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
 			}
-			show(buf[:n])
+			after(buf[:n])
 		}
 		if err != nil {
 			return
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -84,6 +84,7 @@
 func (s *store) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, _ := strconv.Atoi(q.Get("from"))
+	maxKB, _ := strconv.Atoi(q.Get("max_size"))
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
@@ -94,7 +95,10 @@
 		if from < len(records) || !waiting {
 			b := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 			b = binary.BigEndian.AppendUint64(b, 0)
-			for _, rec := range records[min(from, len(records)):] {
+			for i, rec := range records[min(from, len(records)):] {
+				if i > 0 && maxKB > 0 && len(b)+4+len(rec) > maxKB<<10 {
+					break
+				}
 				b = append(binary.BigEndian.AppendUint32(b, uint32(len(rec))), rec...)
 			}
 			_, _ = w.Write(b)
