--- a/review/standin/backlog.go
+++ b/review/standin/backlog.go
@@ -50,7 +50,7 @@
 	return string(raw)
 }
 
-// playBacklog cuts the only instance of a region from the store while many
+// playBacklog cuts one of three instances, the only one of its region, from the store while many
 // configurations come and a key is taken away, and heals the cut.
 func playBacklog(b *bed) int {
 	for n, zone := range []string{"provost", "provost", "rosetown"} {
@@ -65,7 +65,7 @@
 	link := newProxy(b.store.addr)
 	link.perSecond = regionLink
 	e := b.startEdge("provost", 1, link.addr)
-	b.waitReady(e)
+	b.waitReady(e, b.startEdge("rosetown", 1, b.store.addr), b.startEdge("kindersley", 1, b.store.addr))
 
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
