kcgate: Keep requests in the regions of their route and workspace

Change: kctable.Regions holds the lists. The intersection is taken at admission; an empty one is refused with 503 and noRegion. Every choice of an upstream leaves out those of other regions: attempts, retries, resumes, the home of shared prompt parts, the check for another upstream, and the time left of pauses. Versions are counted per service and set of regions. A list that cannot be decoded allows no region and is counted; regions that no zone is in are logged.

--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -40,6 +40,11 @@
 	}
 	if e.gate.SetTable(t) {
 		e.Log.Info("configuration in force", "version", t.Version, "offset", r.Offset, "hosts", len(t.Routes))
+		e.metrics.Add("config.ignoredValues", int64(t.IgnoredValues))
+		if unknown := t.UnknownRegions(e.Deployment.Regions); len(unknown) > 0 {
+			e.Log.Warn("configuration allows regions that no availability zone is in", "version", t.Version, "regions", unknown,
+				"ignoredValues", t.IgnoredValues)
+		}
 	}
 }
 
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -106,7 +106,7 @@
 
 // failNoUpstream rejects a request for which no upstream is available.
 func (x *exchange) failNoUpstream(ctx context.Context, anyFull bool) {
-	paused := x.g.Upstreams.pauseLeft(x.service, x.decision.allows)
+	paused := x.g.Upstreams.pauseLeft(x.criteria(nil))
 	switch {
 	case x.decision.retryAfterMs > 0:
 		x.fail(ctx, reasonVersionStopped, x.decision.retryAfterMs)
@@ -138,18 +138,17 @@
 
 // pickUpstream picks an upstream with a version that may run the request.
 func (x *exchange) pickUpstream(tried kcset.Set[string], model string) (*pickedUpstream, bool) {
-	available := x.g.Upstreams.versions(x.service)
+	available := x.g.Upstreams.versions(x.service, x.regions)
 	key := x.meta.Session
 	if key == "" {
 		key = x.meta.ID
 	}
 	x.decision = x.g.Rollouts.decideVersion(x.service, key, available)
 	x.g.Metrics.Count("versions." + x.decision.reason)
-	c, ok := x.g.Upstreams.pick(pickCriteria{
-		service: x.service, allowsVersion: x.decision.allows,
-		tried: tried, prompt: x.promptFor(model), holdMs: x.expectedHoldMs(),
-		upstreamShare: func(version string) float64 { return x.g.Rollouts.upstreamShare(x.service, version) },
-	})
+	w := x.criteria(tried)
+	w.prompt, w.holdMs = x.promptFor(model), x.expectedHoldMs()
+	w.upstreamShare = func(version string) float64 { return x.g.Rollouts.upstreamShare(x.service, version) }
+	c, ok := x.g.Upstreams.pick(w)
 	if ok {
 		x.g.Rollouts.pinSession(x.session(), c.Version, !x.sessionPinned)
 		x.sessionPinned = true
@@ -157,6 +156,11 @@
 	return c, ok
 }
 
+// criteria returns what every upstream of the request must meet.
+func (x *exchange) criteria(tried kcset.Set[string]) pickCriteria {
+	return pickCriteria{service: x.service, allowsVersion: x.decision.allows, regions: x.regions, tried: tried}
+}
+
 // promptFor describes the prompt that an engine has to prefill for the request.
 func (x *exchange) promptFor(model string) prompt {
 	p := prompt{model: model, parts: x.meta.PromptParts, tokens: x.meta.PromptTokens}
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -57,8 +57,9 @@
 
 	mu       sync.Mutex
 	services map[string]*serviceRollout
-	// baseVersions holds the version of each service without an order.
-	baseVersions map[string]string
+	// baseVersions holds the version of each service without an order, and of its
+	// upstreams in the regions that a request may use.
+	baseVersions map[versionsKey]string
 	pins         map[sessionKey]sessionPin
 	// statesLoaded is closed once the published states are read.
 	statesLoaded chan struct{}
@@ -68,7 +69,7 @@
 func NewRollouts(opts Options) *Rollouts {
 	return &Rollouts{
 		opts: opts, services: make(map[string]*serviceRollout),
-		baseVersions: make(map[string]string), pins: make(map[sessionKey]sessionPin),
+		baseVersions: make(map[versionsKey]string), pins: make(map[sessionKey]sessionPin),
 		statesLoaded: make(chan struct{}),
 	}
 }
@@ -299,12 +300,16 @@
 }
 
 // baseVersionFilter keeps a service without an order on one version. Upstreams of
-// a new version may be listed before the order for it arrives.
+// a new version may be listed before the order for it arrives. If that version has
+// no upstream in the regions of a request, these regions have one of their own.
 func (o *Rollouts) baseVersionFilter(service string, available versionCounts) func(string) bool {
-	if available.counts[o.baseVersions[service]] == 0 && available.oldestVersion != "" {
-		o.baseVersions[service] = available.oldestVersion
+	key := versionsKey{service, available.regions}
+	if all := o.baseVersions[versionsKey{service: service}]; available.counts[all] > 0 {
+		o.baseVersions[key] = all
+	} else if available.counts[o.baseVersions[key]] == 0 && available.oldestVersion != "" {
+		o.baseVersions[key] = available.oldestVersion
 	}
-	base := o.baseVersions[service]
+	base := o.baseVersions[key]
 	return func(v string) bool { return v == base }
 }
 
@@ -474,7 +479,7 @@
 // NextRolloutState returns the next state of an active rollout, if it is due, and
 // the evidence behind it.
 func (g *Gateway) NextRolloutState(service string) (p kctable.RolloutProgress, seen kcrollout.Tally, ok bool) {
-	return g.Rollouts.nextState(service, g.Upstreams.versions(service))
+	return g.Rollouts.nextState(service, g.Upstreams.versions(service, nil))
 }
 
 func (o *Rollouts) nextState(service string, available versionCounts) (p kctable.RolloutProgress, seen kcrollout.Tally, ok bool) {
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -16,6 +16,7 @@
 	service string
 	// allowsVersion reports whether a version may run the request.
 	allowsVersion func(string) bool
+	regions       kctable.Regions
 	// upstreamShare returns the share of the upstreams of a version that get
 	// requests.
 	upstreamShare func(version string) float64
@@ -29,8 +30,8 @@
 
 // accepts reports whether an upstream may get the request.
 func (l *Upstreams) accepts(w *pickCriteria, u *upstream, now kcclock.Millis) bool {
-	return !u.leaving() && !u.paused(now) && w.allowsVersion(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now) &&
-		l.mayUse(u, now)
+	return !u.leaving() && !u.paused(now) && w.allowsVersion(u.Version) && w.regions.Allow(u.region) && !w.tried.Has(u.ID) &&
+		u.breaker.Ready(now) && l.mayUse(u, now)
 }
 
 // pickedUpstream is an upstream that is in use for a request. It must be
@@ -152,7 +153,8 @@
 }
 
 // prefixHome returns the upstream at which all instances of a region expect the
-// shared parts of a prompt to be cached. It is used unless it is busy. With one
+// shared parts of a prompt to be cached. It is used unless it is busy. It is in the
+// own region, or in the regions that the request may use instead. With one
 // such upstream per availability zone, the parts would be prefilled once in each
 // zone.
 func (l *Upstreams) prefixHome(w *pickCriteria, candidates upstreamsByDistance, now kcclock.Millis) *upstream {
@@ -161,7 +163,11 @@
 	}
 	var best *upstream
 	var maxHash uint64
-	for _, list := range candidates[:inOtherRegion] {
+	lists := candidates[:inOtherRegion]
+	if !w.regions.Allow(l.region) {
+		lists = candidates[:]
+	}
+	for _, list := range lists {
 		for _, u := range list {
 			h := kcset.Mix(w.prompt.affinity ^ u.idHash)
 			if (best == nil || h > maxHash) && l.accepts(w, u, now) {
--- a/internal/kcgate/pick_bench_test.go
+++ b/internal/kcgate/pick_bench_test.go
@@ -40,7 +40,7 @@
 			}
 			clock.Advance(300)
 			for b.Loop() {
-				l.versions("s")
+				l.versions("s", nil)
 				c, ok := l.pick(w)
 				if !ok {
 					b.Fatal("no upstream")
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -158,7 +159,7 @@
 // reserveRetry takes a retry from the budget if another upstream could run the
 // request, and keeps it for the next attempt.
 func (x *exchange) reserveRetry(c *pickedUpstream) bool {
-	if !x.canRetryElsewhere(c) || !x.g.Upstreams.hasOther(c, x.service, x.decision.allows) {
+	if !x.canRetryElsewhere(c) || !x.g.Upstreams.hasOther(x.criteria(kcset.New(c.ID))) {
 		return false
 	}
 	x.retryReserved = x.retryReserved || x.g.takeRetry(x.service)
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -24,6 +24,7 @@
 	reasonTooLarge          = "tooLarge"
 	reasonBodyTimeout       = "bodyLate"
 	reasonNoUpstream        = "noUpstream"
+	reasonNoRegion          = "noRegion"
 	reasonUpstreamsFull     = "upstreamsFull"
 	reasonUpstreamsPaused   = "upstreamsPaused"
 	reasonTimeout           = "timeout"
@@ -72,7 +73,9 @@
 	table *kctable.Table
 	route *kctable.Route
 	// workspace is empty on public routes.
-	workspace  string
+	workspace string
+	// regions are the regions whose upstreams may run the request.
+	regions    kctable.Regions
 	rank       int
 	service    string
 	body       []byte
@@ -146,7 +149,7 @@
 	if !ok {
 		return x.reject(http.StatusNotFound, reasonNoRoute, 0)
 	}
-	x.route, x.rank = route, route.Priority
+	x.route, x.rank, x.regions = route, route.Priority, route.Regions
 	if limit := x.table.Limits.MaxHeaderBytes; limit > 0 && headerSize(x.r.Header) > limit {
 		return x.reject(http.StatusRequestHeaderFieldsTooLarge, reasonTooLarge, 0)
 	}
@@ -162,6 +165,9 @@
 		if ws.HasPriority {
 			x.rank = ws.Priority
 		}
+		if x.regions, ok = route.Regions.Intersect(ws.Regions); !ok {
+			return x.reject(http.StatusServiceUnavailable, reasonNoRegion, 0)
+		}
 	}
 	x.setDeadline()
 	return x.readBody()
--- a/internal/kcgate/upstream_notice.go
+++ b/internal/kcgate/upstream_notice.go
@@ -80,13 +80,14 @@
 
 // pauseLeft returns the least time until an upstream that would take a request wants
 // requests again, and 0 if none has asked for time.
-func (l *Upstreams) pauseLeft(service string, allowsVersion func(string) bool) (left kcclock.Millis) {
+func (l *Upstreams) pauseLeft(w pickCriteria) (left kcclock.Millis) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, list := range l.index(service) {
+	for _, list := range l.index(w.service) {
 		for _, u := range list {
-			if wait := u.pausedUntil - now; wait > 0 && !u.leaving() && allowsVersion(u.Version) && (left == 0 || wait < left) {
+			if wait := u.pausedUntil - now; wait > 0 && !u.leaving() && w.allowsVersion(u.Version) && w.regions.Allow(u.region) &&
+				(left == 0 || wait < left) {
 				left = wait
 			}
 		}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -116,7 +116,7 @@
 	// byService indexes byID by service. It is nil if it must be made again.
 	byService map[string]upstreamsByDistance
 	// versionsOf holds the results of versions since the last change of byID.
-	versionsOf map[string]versionCounts
+	versionsOf map[versionsKey]versionCounts
 	// loaded is closed once the list is read.
 	loaded    chan struct{}
 	peerLoads map[string]*peerLoad
@@ -146,7 +146,7 @@
 		clock: clock, log: slog.New(slog.DiscardHandler), zone: zone, region: regions[zone], regions: regions,
 		byID:   make(map[string]*upstream),
 		loaded: make(chan struct{}), intN: rand.IntN, peerLoads: make(map[string]*peerLoad),
-		pickRates: make(map[string]*pickRate), versionsOf: make(map[string]versionCounts),
+		pickRates: make(map[string]*pickRate), versionsOf: make(map[versionsKey]versionCounts),
 		leavingProcesses: make(map[processID]kcclock.Millis),
 	}
 }
@@ -269,8 +269,12 @@
 type versionCounts struct {
 	counts        map[string]int
 	oldestVersion string
+	// regions is the key of the regions whose upstreams are counted.
+	regions string
 }
 
+type versionsKey struct{ service, regions string }
+
 // split returns the number of upstreams of a version and of all other versions.
 func (v versionCounts) split(version string) (n, others int) {
 	for other, count := range v.counts {
@@ -281,18 +285,19 @@
 	return v.counts[version], others
 }
 
-// versions counts the upstreams of a service per version. The caller must not
-// change the result.
-func (l *Upstreams) versions(service string) versionCounts {
+// versions counts the upstreams of a service in regions per version. The caller
+// must not change the result.
+func (l *Upstreams) versions(service string, regions kctable.Regions) versionCounts {
+	key := versionsKey{service, regions.Key()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if v, known := l.versionsOf[service]; known {
+	if v, known := l.versionsOf[key]; known {
 		return v
 	}
-	v := versionCounts{counts: make(map[string]int)}
+	v := versionCounts{counts: make(map[string]int), regions: key.regions}
 	var oldest *upstream
 	for _, u := range l.byID {
-		if u.Service != service || u.leaving() {
+		if u.Service != service || u.leaving() || !regions.Allow(u.region) {
 			continue
 		}
 		v.counts[u.Version]++
@@ -303,7 +308,7 @@
 	if oldest != nil {
 		v.oldestVersion = oldest.Version
 	}
-	l.versionsOf[service] = v
+	l.versionsOf[key] = v
 	return v
 }
 
@@ -351,14 +356,13 @@
 	return l.clock.Now() - kcclock.Millis(c.u.lastActivityAt.Load())
 }
 
-// hasOther reports whether another upstream than c would take a request now.
-func (l *Upstreams) hasOther(c *pickedUpstream, service string, allowsVersion func(string) bool) bool {
+// hasOther reports whether an upstream that was not tried would take a request now.
+func (l *Upstreams) hasOther(w pickCriteria) bool {
 	now := l.clock.Now()
-	w := &pickCriteria{service: service, allowsVersion: allowsVersion, tried: kcset.New(c.ID)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, list := range l.index(service) {
-		if slices.ContainsFunc(list, func(u *upstream) bool { return l.accepts(w, u, now) }) {
+	for _, list := range l.index(w.service) {
+		if slices.ContainsFunc(list, func(u *upstream) bool { return l.accepts(&w, u, now) }) {
 			return true
 		}
 	}
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -56,6 +56,8 @@
 	Public bool
 	// Resumable streams may be continued at another upstream.
 	Resumable bool
+	// Regions are the regions whose upstreams may run requests of the route.
+	Regions Regions
 	// Models are the models that a request may be sent to, smallest first. If it
 	// is empty, the caller names the model.
 	Models []string
@@ -90,6 +92,8 @@
 	// Priority, if HasPriority is set, takes precedence over that of the route.
 	Priority    int
 	HasPriority bool
+	// Regions are the regions whose upstreams may run requests of the workspace.
+	Regions Regions
 }
 
 // Limits bounds what callers may send.
@@ -111,6 +115,8 @@
 	// KeysRequired means that all routes that are not public require a key.
 	KeysRequired bool
 	Limits       Limits
+	// IgnoredValues is the number of values of the configuration that make no sense.
+	IgnoredValues int
 	// HealthPaths holds the path of the health check by service.
 	HealthPaths map[string]string
 }
