kcedge: Evacuate availability zones on the operator's record

Cause: records `evacuate/ZONE` were ignored, so requests went on to reach the zone.

The index of upstreams and the counts per version leave out evacuated zones, so no attempt, retry, resume or session reaches them; running requests complete. The records of a batch are applied before its configuration. Instances that read through a peer keep bounds.evacuate_ms. Unknown zones and odd values are counted.

--- a/internal/kcedge/ages.go
+++ b/internal/kcedge/ages.go
@@ -32,6 +32,9 @@
 	if b.ConfigApplyMs > 0 {
 		a.config = min(a.config, b.ConfigApplyMs-applyMarginMs)
 	}
+	if b.EvacuateMs > 0 {
+		a.config = min(a.config, b.EvacuateMs-applyMarginMs)
+	}
 	if b.DrainMs > 0 {
 		// A draining upstream also says so in its answers, so its entry may arrive
 		// a little later than DrainMs.
--- a/internal/kcedge/ages_test.go
+++ b/internal/kcedge/ages_test.go
@@ -17,11 +17,12 @@
 	for _, b := range []kctable.Bounds{
 		{ConfigApplyMs: 2500, KeyRevokeMs: 5000, DrainMs: 2500},
 		{ConfigApplyMs: 4000, KeyRevokeMs: 5000, DrainMs: 4000},
+		{ConfigApplyMs: 4000, KeyRevokeMs: 5000, EvacuateMs: 2500, DrainMs: 4000},
 	} {
 		a := newPeerMaxAges(b)
 		// At the time of the change, the last data of the peer may be as old as
 		// accepted.
-		if late := a.config + slowest; late > b.ConfigApplyMs {
+		if late := a.config + slowest; late > b.ConfigApplyMs || b.EvacuateMs > 0 && late > b.EvacuateMs {
 			t.Errorf("%+v: a configuration comes %d ms after its change", b, late)
 		}
 		if a.config < configLongPollMs+slowest || a.upstreams < upstreamsLongPollMs+slowest ||
--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -5,15 +5,18 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/internal/kcwarmup"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 	kcplatform "github.com/kingcuprail/kingcuprail/platform"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
-// applyOperatorRecords applies configurations and rollout orders of the
-// operator.
+// applyOperatorRecords applies configurations, rollout orders and evacuations of the
+// operator. Evacuations come first: requests are served once there is a
+// configuration.
 func (e *Edge) applyOperatorRecords(records []kcfeed.Record, snapshot bool, _ kcclock.Millis) {
+	e.applyEvacuations(records, snapshot)
 	for _, r := range records {
 		switch {
 		case len(r.Value) == 0:
@@ -32,6 +35,30 @@
 	}
 }
 
+// applyEvacuations applies the evacuations among the records of the operator.
+func (e *Edge) applyEvacuations(records []kcfeed.Record, snapshot bool) {
+	var list []kcwarmup.Evacuation
+	for _, r := range records {
+		zone, ok := kcplatform.EvacuatedZone(r.Key)
+		if !ok {
+			continue
+		}
+		active := len(r.Value) > 0
+		list = append(list, kcwarmup.Evacuation{Zone: zone, Active: active})
+		if active && !kcplatform.IsEvacuation(r.Value) {
+			e.metrics.Count("evacuations.ignoredValues")
+		}
+		if _, known := e.Deployment.Regions[zone]; active && !known {
+			e.metrics.Count("evacuations.unknownZone")
+			e.Log.Warn("evacuation of an unknown availability zone", "zone", zone, "offset", r.Offset)
+		}
+	}
+	for _, c := range e.gate.Upstreams.ApplyEvacuations(list, snapshot) {
+		e.metrics.Count("evacuations.changes")
+		e.Log.Info("evacuation", "zone", c.Zone, "active", c.Active, "snapshot", snapshot)
+	}
+}
+
 func (e *Edge) applyConfig(r kcfeed.Record) {
 	t, err := kcplatform.DecodeConfig(r.Value)
 	if err != nil {
--- /dev/null
+++ b/internal/kcgate/evacuation.go
@@ -0,0 +1,16 @@
+package kcgate
+
+import "github.com/kingcuprail/kingcuprail/internal/kcwarmup"
+
+// ApplyEvacuations applies records of evacuated availability zones and returns the
+// changes. Requests that run there complete. If snapshot is true, evacuations that
+// are not among the records have ended.
+func (l *Upstreams) ApplyEvacuations(records []kcwarmup.Evacuation, snapshot bool) []kcwarmup.Evacuation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changes := l.zones.Apply(records, snapshot, l.clock.Now())
+	if len(changes) > 0 {
+		l.dropIndex()
+	}
+	return changes
+}
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -101,12 +101,16 @@
 // upstreamsByDistance holds upstreams of one service.
 type upstreamsByDistance [distances][]*upstream
 
-// index returns the upstreams of a service. It is made anew when the list has
-// changed, so that a pick does not walk thousands of upstreams.
+// index returns the upstreams of a service in zones that are not evacuated. It is
+// made anew when the list has changed, so that a pick does not walk thousands of
+// upstreams.
 func (l *Upstreams) index(service string) upstreamsByDistance {
 	if l.byService == nil {
 		l.byService = make(map[string]upstreamsByDistance)
 		for _, u := range l.byID {
+			if l.zones.Evacuated(u.Zone) {
+				continue
+			}
 			list := l.byService[u.Service]
 			list[l.distance(u)] = append(list[l.distance(u)], u)
 			l.byService[u.Service] = list
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/internal/kcwarmup"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -133,6 +134,7 @@
 	peerReportTimes kcclock.Millis
 	// pickRates holds the rates of picks by service.
 	pickRates map[string]*pickRate
+	zones     kcwarmup.Zones
 	prefixes  prefixCache
 	// order is the buffer in which sample shuffles upstreams.
 	order []*upstream
@@ -285,8 +287,8 @@
 	return v.counts[version], others
 }
 
-// versions counts the upstreams of a service in regions per version. The caller
-// must not change the result.
+// versions counts the upstreams of a service in regions per version, without those
+// in evacuated zones. The caller must not change the result.
 func (l *Upstreams) versions(service string, regions kctable.Regions) versionCounts {
 	key := versionsKey{service, regions.Key()}
 	l.mu.Lock()
@@ -297,7 +299,7 @@
 	v := versionCounts{counts: make(map[string]int), regions: key.regions}
 	var oldest *upstream
 	for _, u := range l.byID {
-		if u.Service != service || u.leaving() || !regions.Allow(u.region) {
+		if u.Service != service || u.leaving() || l.zones.Evacuated(u.Zone) || !regions.Allow(u.region) {
 			continue
 		}
 		v.counts[u.Version]++
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -42,6 +42,9 @@
 	// HeartbeatMs is the time after which upstreams renew their entries in the
 	// store, 0 if unknown.
 	HeartbeatMs kcclock.Millis
+	// EvacuateMs is the time after which no request may reach an evacuated
+	// availability zone, 0 if there is none.
+	EvacuateMs kcclock.Millis
 	// DrainMs is the time after which a draining upstream must get no request.
 	DrainMs kcclock.Millis
 	// GraceMs is the time between the request to stop and the kill of the
