--- a/internal/kcprogram/program.go
+++ b/internal/kcprogram/program.go
@@ -124,6 +124,9 @@
 	<-p.ended
 }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal. It has no effect if the process has ended.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
