kcqueue: Remove, expire and charge requests

Cause: admission holds requests whose callers can disconnect, whose objective can pass while they wait, and of whose workspace others are admitted without waiting. Change: Remove, PopExpired, Shed and Charge. Items that were taken are cleared, so that the queue does not keep what they refer to. Result: one new test; the two other users of the queue are unchanged.

--- a/internal/kcqueue/queue.go
+++ b/internal/kcqueue/queue.go
@@ -164,13 +164,74 @@
 
 func (q *Queue[T]) takeMostUrgent(l *workspaceQueue[T]) Item[T] {
 	it := l.items[len(l.items)-1]
-	l.items = l.items[:len(l.items)-1]
+	l.removeAt(len(l.items) - 1)
 	q.size--
 	q.virtualTime = max(q.virtualTime, l.virtualFinish)
 	l.virtualFinish += it.Work / it.Weight
 	return it
 }
 
+// PopExpired takes a request whose latest start has come. Its workspace is not
+// charged, because the request gets no capacity.
+func (q *Queue[T]) PopExpired(now kcclock.Millis) (Item[T], bool) {
+	for _, l := range q.workspaces {
+		if n := len(l.items) - 1; n >= 0 && l.items[n].LatestStart <= now {
+			it := l.items[n]
+			l.removeAt(n)
+			q.size--
+			return it, true
+		}
+	}
+	return Item[T]{}, false
+}
+
+// Remove removes the request of a workspace with a latest start for which match
+// returns true. It reports whether there was one.
+func (q *Queue[T]) Remove(workspace string, latestStart kcclock.Millis, match func(T) bool) bool {
+	l := q.workspaces[workspace]
+	if l == nil {
+		return false
+	}
+	n, _ := slices.BinarySearchFunc(l.items, latestStart, func(x Item[T], t kcclock.Millis) int {
+		if x.LatestStart > t {
+			return -1
+		}
+		return 1
+	})
+	for ; n < len(l.items) && l.items[n].LatestStart == latestStart; n++ {
+		if match(l.items[n].Value) {
+			l.removeAt(n)
+			q.size--
+			return true
+		}
+	}
+	return false
+}
+
+// removeAt removes an item and lets go of what it refers to.
+func (l *workspaceQueue[T]) removeAt(n int) { l.items = slices.Delete(l.items, n, n+1) }
+
+// Shed removes and returns the request that Push would shed from a full queue. It
+// returns false if the queue is empty.
+func (q *Queue[T]) Shed() (Item[T], bool) {
+	if q.size == 0 {
+		return Item[T]{}, false
+	}
+	return q.shedLeastUrgent(), true
+}
+
+// Charge counts capacity that a workspace uses for a request that has not waited.
+func (q *Queue[T]) Charge(workspace string, work, weight float64) {
+	l := q.workspaces[workspace]
+	if l == nil {
+		l = &workspaceQueue[T]{}
+		q.workspaces[workspace] = l
+	}
+	l.virtualFinish = max(l.virtualFinish, q.virtualTime)
+	q.virtualTime = l.virtualFinish
+	l.virtualFinish += positiveOrOne(work) / positiveOrOne(weight)
+}
+
 // TrimIdleWorkspaces removes workspaces that have no waiting requests and whose
 // past use no longer affects the order.
 func (q *Queue[T]) TrimIdleWorkspaces() {
--- a/internal/kcqueue/queue_test.go
+++ b/internal/kcqueue/queue_test.go
@@ -82,3 +82,33 @@
 		t.Errorf("shed %q, want flood1", shed.Value)
 	}
 }
+
+// Guards against requests that are removed twice or not at all, and against expired
+// ones that use the share of their workspace.
+func TestRemovedAndExpiredRequests(t *testing.T) {
+	q := New[int](Options{MaxWaiting: 100})
+	for i := range 9 {
+		q.Push(Item[int]{Value: i, LatestStart: 100, Workspace: fmt.Sprint("w", i%3)})
+	}
+	is4 := func(v int) bool { return v == 4 }
+	if !q.Remove("w1", 100, is4) || q.Remove("w1", 100, is4) || q.Remove("other", 100, is4) || q.Len() != 8 {
+		t.Errorf("%d requests after one was removed, want 8", q.Len())
+	}
+	if _, ok := q.PopExpired(99); ok {
+		t.Error("a request has expired before its latest start")
+	}
+	for want := 7; want > 2; want-- {
+		if _, ok := q.PopExpired(100); !ok || q.Len() != want {
+			t.Fatalf("%d requests are left, want %d", q.Len(), want)
+		}
+	}
+	q.Charge("w0", 5, 1)
+	q.Push(Item[int]{Value: 100, LatestStart: 900, Workspace: "w0"})
+	q.Push(Item[int]{Value: 101, LatestStart: 900, Workspace: "w9"})
+	for q.Len() > 2 {
+		q.PopExpired(100)
+	}
+	if it, _ := q.Pop(100); it.Value != 101 {
+		t.Errorf("request %d is next, want that of the workspace that was not charged", it.Value)
+	}
+}
