kcadmit: Admit, hold and refuse requests under a shortage

Cause: an instance sends each request at once. In bursts of twice the capacity, the upstreams of the plain service reject half of the arrivals, each rejection uses retry budget, and most responses are late. Change: kcadmit.Controller admits at this instance's share of the rate at which the upstreams finish requests, corrected by how full they are; holds the others, those that can meet their objective first, by urgency and share of served requests; and refuses what cannot meet its deadline. kcgate asks it before the first choice of an upstream and after a rejection, releases held requests when a request ends, when a report arrives and every 10 ms, and proposes Retry-After in order. Escalations give way before requests are held; their threshold moves to kcadmit.

--- a/internal/kcedge/reports.go
+++ b/internal/kcedge/reports.go
@@ -196,6 +196,7 @@
 	if err == nil {
 		p.recordHeartbeat(m)
 		p.edge.gate.Upstreams.SetPeerLoad(m)
+		p.edge.gate.Admission.ReleaseAll()
 	}
 	return err
 }
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -88,9 +88,15 @@
 			model = x.lastModel(model)
 			tried.Remove(c.ID)
 		case resultRetry:
-			anyFull = anyFull || x.attempts[len(x.attempts)-1].execution == notRun
-			if x.attempts[len(x.attempts)-1].execution == notRun && !x.g.takeRetry(x.service) {
-				x.fail(ctx, reasonUpstreamsFull, upstreamsFullRetryMs)
+			if x.attempts[len(x.attempts)-1].execution != notRun {
+				continue
+			}
+			anyFull = true
+			if !x.g.takeRetry(x.service) {
+				x.fail(ctx, reasonUpstreamsFull, x.fullRetryAfter())
+				return
+			}
+			if !x.awaitAdmission(ctx, model, tried, true) {
 				return
 			}
 		case resultNoAnswer:
@@ -113,9 +119,9 @@
 	case paused > 0:
 		x.fail(ctx, reasonUpstreamsPaused, paused)
 	case anyFull:
-		x.fail(ctx, reasonUpstreamsFull, upstreamsFullRetryMs)
+		x.fail(ctx, reasonUpstreamsFull, x.fullRetryAfter())
 	default:
-		x.fail(ctx, reasonNoUpstream, upstreamsFullRetryMs)
+		x.fail(ctx, reasonNoUpstream, x.fullRetryAfter())
 	}
 }
 
@@ -203,6 +209,7 @@
 	head := x.decodeResponse(c, resp)
 	if head.HasLoad {
 		x.g.Upstreams.recordLoad(c, head.Load)
+		x.g.Admission.Release(x.service)
 	}
 	if x.meta.PromptTokens > 0 && !head.NotRun && resp.StatusCode == http.StatusOK {
 		elapsedMs := x.g.Clock.Now() - now
--- a/internal/kcgate/cascade_test.go
+++ b/internal/kcgate/cascade_test.go
@@ -1,30 +1,6 @@
 package kcgate
 
-import (
-	"testing"
-
-	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
-)
-
-// Guards against an escalation whose better answer comes too late to be useful,
-// and against a low-confidence answer that is forwarded although there is time to
-// escalate.
-func TestEscalationThresholdFollowsRemainingTime(t *testing.T) {
-	for _, c := range []struct {
-		left, expect kcclock.Millis
-		low, high    float64
-	}{
-		{left: 4000, expect: 300, low: escalateBelow, high: escalateBelow},
-		{left: 800, expect: 800, low: escalateLateBelow, high: escalateLateBelow},
-		{left: -500, expect: 300, low: escalateLateBelow, high: escalateLateBelow},
-		{left: 1000, expect: 600, low: escalateLateBelow + 1, high: escalateBelow - 1},
-	} {
-		got := escalationPolicy{remainingMs: c.left, expectedMs: c.expect}.threshold()
-		if got < c.low || got > c.high {
-			t.Errorf("%+v: got threshold %v", c, got)
-		}
-	}
-}
+import "testing"
 
 // Guards against a usual latency that follows the few requests with long waits.
 func TestLatencyStatsIgnoreTail(t *testing.T) {
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcadmit"
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
@@ -145,6 +146,8 @@
 	drain       drainState
 	firstEvents *firstEventEstimator
 	latencies   *latencyStats
+	// Admission is nil unless the deployment has overload control.
+	Admission *kcadmit.Admission
 	// Quarantine holds the prompt parts under which upstreams have crashed.
 	Quarantine *kcquarantine.Tracker
 
@@ -157,6 +160,7 @@
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
 	upstreams.log, upstreams.instance = opts.Log, opts.Deployment.Instance
 	return &Gateway{
+		Admission:   newAdmission(opts, upstreams),
 		Options:     opts,
 		Upstreams:   upstreams,
 		startup:     startupState{startedAt: opts.Clock.Now(), table: make(chan struct{}), upstreams: upstreams.loaded},
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -53,6 +53,7 @@
 		x.recordAnswerStart()
 		took := x.g.Clock.Now() - x.attempts[len(x.attempts)-1].startedAt
 		x.classifyLatency(c, "answer/"+x.route.Name, float64(took), unarySlowFactor)
+		x.g.Upstreams.recordHold(c, float64(took))
 		x.g.Upstreams.release(c, outcomeGood)
 		x.recordOutcome(c, false)
 	}
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -150,23 +150,33 @@
 	if limit := x.table.Limits.MaxHeaderBytes; limit > 0 && headerSize(x.r.Header) > limit {
 		return x.reject(http.StatusRequestHeaderFieldsTooLarge, reasonTooLarge, 0)
 	}
-	if x.table.KeysRequired && !route.Public {
-		ws, known := x.table.Workspaces[ask.APIKey]
-		switch {
-		case !fresh:
-			return x.reject(http.StatusServiceUnavailable, reasonStaleKeys, otherInstanceRetryMs)
-		case !known:
-			return x.reject(http.StatusUnauthorized, reasonUnknownKey, 0)
-		}
-		x.workspace = ws.Name
-		if ws.HasPriority {
-			x.rank = ws.Priority
-		}
+	if !x.checkKey(fresh) {
+		return false
 	}
 	x.setDeadline()
 	return x.readBody()
 }
 
+// checkKey checks the API key. It reports whether it is valid; if not, the request
+// has been answered.
+func (x *exchange) checkKey(fresh bool) bool {
+	if !x.table.KeysRequired || x.route.Public {
+		return true
+	}
+	ws, known := x.table.Workspaces[x.meta.APIKey]
+	switch {
+	case !fresh:
+		return x.reject(http.StatusServiceUnavailable, reasonStaleKeys, otherInstanceRetryMs)
+	case !known:
+		return x.reject(http.StatusUnauthorized, reasonUnknownKey, 0)
+	}
+	x.workspace = ws.Name
+	if ws.HasPriority {
+		x.rank = ws.Priority
+	}
+	return true
+}
+
 // headerSize returns the size of headers in bytes in the encoding of HTTP/1.1.
 func headerSize(h http.Header) int64 {
 	n := 0
@@ -233,9 +243,12 @@
 			x.g.Rollouts.finishRequest(x.session())
 		}
 	}()
+	defer x.g.Admission.Release(x.service)
 	x.initQuarantine(ctx)
 	defer x.endTrial()
-	x.sendUntilAnswered(ctx)
+	if x.awaitAdmission(ctx, x.firstModel(), nil, false) {
+		x.sendUntilAnswered(ctx)
+	}
 }
 
 // awaitRolloutState waits for the rollout state and the sessions that an instance
--- a/internal/kcgate/stop.go
+++ b/internal/kcgate/stop.go
@@ -57,6 +57,7 @@
 	g.drain.mu.Lock()
 	defer g.drain.mu.Unlock()
 	g.drain.rejecting = true
+	g.Admission.Stop()
 }
 
 // InFlight returns the number of requests that are not answered yet.
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -136,6 +136,7 @@
 	prefixes  prefixCache
 	// order is the buffer in which sample shuffles upstreams.
 	order []*upstream
+	rooms roomCache
 	// intN is a source of randomness that tests replace.
 	intN func(n int) int
 }
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -25,6 +25,8 @@
 	MemoryMB int
 	// LinkMbps is the bandwidth of the machine in Mbit/s, 0 if unknown.
 	LinkMbps int
+	// Overload enables admission under a shortage.
+	Overload bool
 	Bounds   Bounds
 }
 
