--- a/internal/kcgate/events.go
+++ b/internal/kcevent/event.go
@@ -1,4 +1,6 @@
-package kcgate
+// Package kcevent reads streams of server-sent events and checks that they are whole
+// and in order.
+package kcevent
 
 import (
 	"bufio"
@@ -14,22 +16,23 @@
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
-// event is one server-sent event with its terminating blank line.
-type event struct {
-	raw   []byte
-	id    int64
-	hasID bool
+// Event is one server-sent event with its terminating blank line.
+type Event struct {
+	// Raw is the text of the event.
+	Raw   []byte
+	ID    int64
+	HasID bool
 	// hasField is false for comments and blank lines.
 	hasField bool
 	// hasData is true if the event has a field with data.
 	hasData bool
 }
 
-// checkSequence checks that e directly follows the event with the id last: no
+// CheckSequence checks that e directly follows the event with the id last: no
 // event is missing and none is repeated.
-func (e *event) checkSequence(last int64) error {
-	if e.hasID && last >= 0 && e.id != last+1 {
-		return errs.New("event %d came after event %d", e.id, last)
+func (e *Event) CheckSequence(last int64) error {
+	if e.HasID && last >= 0 && e.ID != last+1 {
+		return errs.New("event %d came after event %d", e.ID, last)
 	}
 	return nil
 }
@@ -38,65 +41,66 @@
 // neither, such as keep-alive comments.
 const maxNonEventBytes = 16 << 10
 
-type eventReader struct {
+// Reader reads the events of a stream.
+type Reader struct {
 	br *bufio.Reader
 	// hasIDs is true once an event had an id. From then on, events without an id
 	// do not count as progress of the stream.
 	hasIDs bool
-	// nonEventBytes is the number of bytes since the last event that counted as
+	// NonEventBytes is the number of bytes since the last event that counted as
 	// progress.
-	nonEventBytes int
+	NonEventBytes int
 }
 
-// newEventReader returns a reader of the events after the one with the id last, -1
+// NewReader returns a reader of the events after the one with the id last, -1
 // for all of them.
-func newEventReader(r io.Reader, last int64) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, 2<<10), hasIDs: last >= 0}
+func NewReader(r io.Reader, last int64) *Reader {
+	return &Reader{br: bufio.NewReaderSize(r, 2<<10), hasIDs: last >= 0}
 }
 
-// next returns the next complete event, or io.EOF if the stream ended after one.
+// Next returns the next complete event, or io.EOF if the stream ended after one.
 // It fails if the stream ends within an event, if it holds anything else than
 // events, such as another response, or if more than maxNonEventBytes arrive without
 // an event.
-func (r *eventReader) next() (event, error) {
+func (r *Reader) Next() (Event, error) {
 	e, err := r.read()
 	if err != nil {
 		return e, err
 	}
-	if r.hasIDs && e.hasData && !e.hasID {
+	if r.hasIDs && e.hasData && !e.HasID {
 		return e, errs.New("data without an event id")
 	}
-	r.hasIDs = r.hasIDs || e.hasID
-	if e.hasID || e.hasField && !r.hasIDs {
-		r.nonEventBytes = 0
+	r.hasIDs = r.hasIDs || e.HasID
+	if e.HasID || e.hasField && !r.hasIDs {
+		r.NonEventBytes = 0
 		return e, nil
 	}
-	if r.nonEventBytes += len(e.raw); r.nonEventBytes > maxNonEventBytes {
-		return e, errs.New("no event in %d bytes of the stream", r.nonEventBytes)
+	if r.NonEventBytes += len(e.Raw); r.NonEventBytes > maxNonEventBytes {
+		return e, errs.New("no event in %d bytes of the stream", r.NonEventBytes)
 	}
 	return e, nil
 }
 
-func (r *eventReader) read() (event, error) {
-	var e event
+func (r *Reader) read() (Event, error) {
+	var e Event
 	start := 0
 	for {
 		part, err := r.br.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
-		if len(e.raw) > maxEventBytes {
+		e.Raw = append(e.Raw, part...)
+		if len(e.Raw) > maxEventBytes {
 			return e, errs.New("event is larger than %d bytes", maxEventBytes)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(e.raw) > 0 {
+		if errors.Is(err, io.EOF) && len(e.Raw) > 0 {
 			return e, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return e, err
 		}
-		line := bytes.TrimRight(e.raw[start:], "\r\n")
-		start = len(e.raw)
+		line := bytes.TrimRight(e.Raw[start:], "\r\n")
+		start = len(e.Raw)
 		if len(line) == 0 {
 			return e, nil
 		}
@@ -113,7 +117,7 @@
 			if err != nil {
 				return e, errs.New("event id %q is not a number", value)
 			}
-			e.id, e.hasID = n, true
+			e.ID, e.HasID = n, true
 		}
 	}
 }
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcevent"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -199,19 +200,19 @@
 // stream, and otherwise the cause of the interruption. last is the id of the last
 // event that was forwarded, and a the attempt.
 func (x *exchange) relayEvents(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last *int64, a *attempt) error {
-	rd := newEventReader(resp.Body, *last)
+	rd := kcevent.NewReader(resp.Body, *last)
 	readTimeout := kcclock.Millis(stallFactor * float64(x.pauseLimit()))
 	x.keepWaiting(ctx, c, resp, x.pauseLimit())
 	firstEventAt := kcclock.Millis(0)
 	x.events = 0
 	for {
-		if rd.nonEventBytes == 0 {
+		if rd.NonEventBytes == 0 {
 			if err := resp.SetReadTimeout(readTimeout); err != nil && ctx.Err() == nil {
 				resp.Abort()
 				return err
 			}
 		}
-		ev, err := rd.next()
+		ev, err := rd.Next()
 		if errors.Is(err, io.EOF) {
 			if err := x.checkStreamEnd(ctx, c, resp, *last); err != nil {
 				resp.Abort()
@@ -225,7 +226,7 @@
 			return nil
 		}
 		if err == nil {
-			err = ev.checkSequence(*last)
+			err = ev.CheckSequence(*last)
 		}
 		if err != nil {
 			resp.Abort()
@@ -237,12 +238,12 @@
 		x.g.Upstreams.markActive(c)
 		x.startStream(resp)
 		x.countEvent(c, a, &firstEventAt)
-		if err := x.writeEvent(ev.raw); err != nil {
+		if err := x.writeEvent(ev.Raw); err != nil {
 			resp.Abort()
 			return err
 		}
-		if ev.hasID {
-			*last = ev.id
+		if ev.HasID {
+			*last = ev.ID
 		}
 	}
 }
