kcwarmup: Send cold upstreams no more than they take

Cause: cold_start_s, cold_per_s, cold_left_ms and Cold-Ms were not read, so all instances sent to an upstream that had just started, and a zone came back from an evacuation with a burst.

Change: kcwarmup chooses a few senders per cold upstream among all listed instances of its region, each with a fixed interval, such that two disjoint sets of senders keep cold_per_s * cold_overage + cold_slack in any second. kcgate asks it in accepts and counts in pick. New entries and processes, reported times, zones that return and broken connections make an upstream cold. Requests that only cold upstreams could run beyond that get 503 with upstreamsCold and the time until the next turn. Requests that go to a cold rollout target by its share fall back to the old version; sessions of the target wait. Slow answers of cold upstreams are no evidence and no usual latency, and such an answer is not dropped for a larger model without an upstream.

--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -88,6 +88,7 @@
 			continue
 		}
 		u, err := kcplatform.DecodeUpstream(r.Key, r.Value)
+		e.metrics.Add("upstreams.ignoredValues", int64(u.IgnoredValues))
 		if err != nil {
 			e.Log.Warn("cannot decode upstream entry; removing the upstream", "upstream", r.Key, "offset", r.Offset, "error", err)
 			e.gate.Upstreams.Remove(r.Key, 0)
--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -175,6 +175,7 @@
 		OnPartBlocked: e.quarantine.blocked, OnPartCleared: e.quarantine.cleared, OnTrial: e.peers.wake,
 		InstanceCount: e.peers.instanceCount,
 	})
+	e.metrics.RegisterGauge("upstreams.cold", e.gate.Upstreams.ColdUpstreams)
 	e.rollouts = newRolloutController(e, clock)
 	return e
 }
--- a/internal/kcgate/cascade.go
+++ b/internal/kcgate/cascade.go
@@ -67,10 +67,11 @@
 // shouldEscalate reports whether a response is discarded in favor of one from the
 // largest model. No part of it has been sent to the caller yet, but a request that
 // must not be repeated has run.
-func (x *exchange) shouldEscalate(head ResponseMeta, model string) bool {
+func (x *exchange) shouldEscalate(c *pickedUpstream, head ResponseMeta, model string) bool {
 	n := len(x.route.Models)
 	if !x.route.SafeToRetry() || !head.HasConfidence || x.meta.Model != AnyModel || n < 2 || model == x.route.Models[n-1] ||
-		x.meta.LastEventID >= 0 || x.attempts.runs()+2 > x.route.MaxAttempts || x.remaining() < minEscalationMs {
+		x.meta.LastEventID >= 0 || x.attempts.runs()+2 > x.route.MaxAttempts || x.remaining() < minEscalationMs ||
+		c.cold && !x.g.Upstreams.hasOther(x.criteria(nil)) {
 		return false
 	}
 	e := escalationPolicy{
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -15,6 +15,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/internal/kcwarmup"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -88,8 +89,11 @@
 	// RetryAfterMs is the time for which an upstream that turned the request away
 	// wants no request of this instance, 0 if it has not asked for any.
 	RetryAfterMs kcclock.Millis
-	// IgnoredNotices is the number of headers on leaving and on that time that make
-	// no sense.
+	// ColdMs is how long the upstream stays cold. It is only set if HasCold is.
+	ColdMs  kcclock.Millis
+	HasCold bool
+	// IgnoredNotices is the number of headers on leaving and on these times that
+	// make no sense.
 	IgnoredNotices int
 }
 
@@ -155,7 +159,11 @@
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
-	upstreams.log, upstreams.instance = opts.Log, opts.Deployment.Instance
+	upstreams.log, upstreams.instance, upstreams.wallClock = opts.Log, opts.Deployment.Instance, opts.WallClock
+	upstreams.warmup = kcwarmup.Warmup{
+		Instance: opts.Deployment.Instance, Overage: opts.Deployment.Bounds.ColdOverage, Slack: opts.Deployment.Bounds.ColdSlack,
+		Log: opts.Log,
+	}
 	return &Gateway{
 		Options:     opts,
 		Upstreams:   upstreams,
@@ -183,6 +191,7 @@
 			if old == nil {
 				close(g.startup.table)
 			}
+			g.Upstreams.setColdStarts(t.ColdStarts)
 			return true
 		}
 	}
--- a/internal/kcgate/harness_test.go
+++ b/internal/kcgate/harness_test.go
@@ -162,6 +162,7 @@
 		Instance: "i", Zone: "z", Regions: map[string]string{"z": "r"},
 		Bounds: kctable.Bounds{
 			StrictRevoke: true, KeyRevokeMs: 5000, RetryRatio: 0.9, SessionIdleMs: 5000, MaxExposureShare: 0.15, GraceMs: 8000,
+			ColdOverage: 1.5, ColdSlack: 5,
 		},
 	}
 	pool := kcconn.NewPool(kcconn.Options{
--- a/internal/kcgate/orders.go
+++ b/internal/kcgate/orders.go
@@ -206,7 +206,12 @@
 // versionDecision tells which versions may run a request, and why.
 type versionDecision struct {
 	allows func(version string) bool
-	reason string
+	// fallback, if set, tells which versions may run the request while all upstreams
+	// of the target are cold. A session whose version is not known may have moved
+	// to the target if sessionsMoved is true.
+	fallback      func(version string) bool
+	sessionsMoved bool
+	reason        string
 	// lastVersion is the last known version of the session, or empty if there is
 	// none. lastVersionAgeMs is the time since its last use.
 	lastVersion      string
@@ -278,9 +283,17 @@
 	}
 	stopped := s.stoppedVersions(available)
 	p.allows = func(v string) bool { return (v == target) == toTarget && !stopped.Has(v) }
+	if toTarget && p.reason == versionReasonShare {
+		p.setFallback(target, stopped, d)
+	}
 	return p
 }
 
+func (p *versionDecision) setFallback(target string, stopped kcset.Set[string], d kcrollout.TrafficSplit) {
+	p.fallback = func(v string) bool { return v != target && !stopped.Has(v) }
+	p.sessionsMoved = d.MoveSessions && p.lastVersion == ""
+}
+
 // routesToTarget reports whether a session goes to the target of an active order,
 // and sets the reason. A session that was served recently keeps its version,
 // unless the order allows sessions to move.
@@ -314,12 +327,13 @@
 }
 
 // recordOutcome adds a response of an upstream to the evidence of an active
-// order.
+// order. How slow a cold upstream is says nothing of its version.
 func (o *Rollouts) recordOutcome(service string, c *pickedUpstream, stratum string, signal kcrollout.Signal, bad bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.services[service]
-	if s == nil || s.evidence == nil || (s.published && s.progress.State != kctable.RolloutRunning) {
+	if s == nil || s.evidence == nil || c.cold && signal != kcrollout.Failure ||
+		(s.published && s.progress.State != kctable.RolloutRunning) {
 		return
 	}
 	arm, onTarget := controlArm, c.Version == s.order.Target
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -43,6 +43,8 @@
 	// is the number of upstreams that were eligible.
 	loadAtPick int
 	candidates int
+	// cold is true if the upstream was cold, which may make it slow.
+	cold bool
 	// pendingWorkMs is the work that is counted until the response begins.
 	pendingWorkMs float64
 }
@@ -80,7 +82,8 @@
 	u.pendingWorkMs += workers[i].RequestMs
 	l.prefixes.add(w.prompt, u.ID, now)
 	return &pickedUpstream{
-		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), pendingWorkMs: workers[i].RequestMs,
+		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), cold: u.warm.Cold(now),
+		pendingWorkMs: workers[i].RequestMs,
 	}, true
 }
 
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -27,6 +27,7 @@
 	reasonNoRegion          = "noRegion"
 	reasonUpstreamsFull     = "upstreamsFull"
 	reasonUpstreamsPaused   = "upstreamsPaused"
+	reasonUpstreamsCold     = "upstreamsCold"
 	reasonTimeout           = "timeout"
 	reasonUnknownExecution  = "unknownExecution"
 	reasonVersionStopped    = "sessionVersionStopped"
--- a/internal/kcgate/upstream_limit.go
+++ b/internal/kcgate/upstream_limit.go
@@ -1,6 +1,7 @@
 package kcgate
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/kingcuprail/kingcuprail/internal/kclimit"
@@ -32,10 +33,11 @@
 	reportsLeft int
 }
 
-// mayUse reports whether the limit of an upstream leaves room for a request of this
-// instance.
+// mayUse reports whether the limit of an upstream, and its state if it is cold, leave
+// room for a request of this instance.
 func (l *Upstreams) mayUse(u *upstream, now kcclock.Millis) bool {
-	return u.limit == nil || u.limit.PerSecond < 0 || u.limit.Has(now, l.senderShare(u, now))
+	return (!u.warm.Cold(now) || u.region == l.region && l.warmup.May(u.warm, now, l.heard())) &&
+		(u.limit == nil || u.limit.PerSecond < 0 || u.limit.Has(now, l.senderShare(u, now)))
 }
 
 // senderShare returns the share of this instance in the limit of an upstream, in
@@ -58,6 +60,7 @@
 
 // takeLimit counts a request to an upstream against its limit.
 func (l *Upstreams) takeLimit(u *upstream, now kcclock.Millis) {
+	l.warmup.Take(u.warm, now)
 	if u.limit != nil && u.limit.PerSecond >= 0 {
 		u.limit.Take(now, l.senderShare(u, now))
 	}
@@ -80,6 +83,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.peerZones = zones
+	l.warmup.SetInstances(slices.Collect(maps.Keys(zones)))
 }
 
 // recordLimit records the limit that a response of an upstream names, or that it
--- a/internal/kcgate/upstream_notice.go
+++ b/internal/kcgate/upstream_notice.go
@@ -41,16 +41,19 @@
 	return back < 0 || float64(u.inFlight) >= 1+float64(u.Slots)*float64(back)/float64(returnRampMs)
 }
 
-// recordNotices records what a response says of its upstream: that it leaves, and
-// that it wants no request for some time. Neither counts as a failure. A
+// recordNotices records what a response says of its upstream: that it leaves,
+// that it wants no request for some time, and how long it stays cold. None counts as a failure. A
 // misdirected request was answered by another process, which speaks of itself.
 func (l *Upstreams) recordNotices(c *pickedUpstream, status int, head ResponseMeta) {
-	if status == http.StatusMisdirectedRequest || !head.Leaving && head.RetryAfterMs <= 0 {
+	if status == http.StatusMisdirectedRequest || !head.Leaving && head.RetryAfterMs <= 0 && !head.HasCold {
 		return
 	}
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if head.HasCold {
+		l.warmup.Report(c.u.warm, head.ColdMs, now)
+	}
 	if head.Leaving && !c.u.saidLeaving {
 		l.markLeaving(c.u, now)
 	}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -84,6 +84,9 @@
 	// pausedUntil is the end of the time for which the upstream wants no request of
 	// this instance. 0 if it has asked for none, or has returned from it.
 	pausedUntil kcclock.Millis
+	// warm is nil if the service has no cold rates. It follows pausedUntil, because both
+	// are read for each candidate.
+	warm *kcwarmup.State
 	// limit is what the upstream says about the requests that it takes from all
 	// instances. It is nil if it has never named a limit.
 	limit *upstreamLimit
@@ -104,11 +107,12 @@
 // Upstreams holds the upstreams of all services.
 type Upstreams struct {
 	clock kcclock.Clock
-	// log and instance, the name of this instance, are set before use.
-	log      *slog.Logger
-	instance string
-	zone     string
-	region   string
+	// log, wallClock and instance, the name of this instance, are set before use.
+	log       *slog.Logger
+	wallClock kcclock.Clock
+	instance  string
+	zone      string
+	region    string
 	// regions holds the region of each availability zone.
 	regions map[string]string
 
@@ -135,6 +139,7 @@
 	// pickRates holds the rates of picks by service.
 	pickRates map[string]*pickRate
 	zones     kcwarmup.Zones
+	warmup    kcwarmup.Warmup
 	prefixes  prefixCache
 	// order is the buffer in which sample shuffles upstreams.
 	order []*upstream
@@ -169,14 +174,14 @@
 func (l *Upstreams) Replace(list []kctable.Upstream, storeReturnedAt kcclock.Millis) (kept int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.Loaded() {
-		close(l.loaded)
-	}
 	seen := kcset.New[string]()
 	for _, u := range list {
 		seen.Add(u.ID)
 		l.set(u)
 	}
+	if !l.Loaded() {
+		close(l.loaded)
+	}
 	for id := range l.byID {
 		if !seen.Has(id) && l.remove(id, storeReturnedAt) {
 			kept++
@@ -201,6 +206,7 @@
 			l.dropIndex()
 		}
 		old.Upstream, old.missingSince = u, 0
+		l.observeEntry(old, false)
 		return changed
 	}
 	l.dropIndex()
@@ -209,6 +215,7 @@
 	}
 	_, added.saidLeaving = l.leavingProcesses[added.process()]
 	l.byID[u.ID] = added
+	l.observeEntry(added, true)
 	return true
 }
 
@@ -407,6 +414,7 @@
 		c.u.breaker.Record(now, true)
 	case outcomeFailed:
 		c.u.breaker.Record(now, false)
+		l.warmup.Failed(c.u.warm, now)
 	case outcomeFull:
 		c.u.reportedLoad = Load{Running: c.u.Slots, Waiting: 1, Slots: c.u.Slots}
 		c.u.inFlightAtReport, c.u.loadReportedAt = c.u.inFlight, now-loadReportTTLMs+fullTTLMs
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -47,6 +47,10 @@
 	EvacuateMs kcclock.Millis
 	// DrainMs is the time after which a draining upstream must get no request.
 	DrainMs kcclock.Millis
+	// ColdOverage and ColdSlack bound the requests that a cold upstream gets in any
+	// second from all instances: ColdOverage times what it can take plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
 	// GraceMs is the time between the request to stop and the kill of the
 	// process.
 	GraceMs kcclock.Millis
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -117,6 +117,8 @@
 	Limits       Limits
 	// IgnoredValues is the number of values of the configuration that make no sense.
 	IgnoredValues int
+	// ColdStarts holds what is known of cold upstreams, by service.
+	ColdStarts map[string]ColdStart
 	// HealthPaths holds the path of the health check by service.
 	HealthPaths map[string]string
 }
@@ -149,9 +151,22 @@
 	Slots   int
 	// Draining upstreams get no new requests.
 	Draining bool
+	// IgnoredValues is the number of values of the entry that make no sense.
+	IgnoredValues uint8
 	// StartedAtMs is the start time in milliseconds since the Unix epoch. An ID
 	// that comes back with another start time is a different upstream.
 	StartedAtMs int64
+	// ColdLeftMs is how long the upstream stays cold, as its entry says.
+	ColdLeftMs kcclock.Millis
+}
+
+// ColdStart says how upstreams of a service start.
+type ColdStart struct {
+	// ForMs is how long an upstream is cold after its start, 0 if it is not.
+	ForMs kcclock.Millis
+	// PerSecond is the number of requests a second that a cold upstream can take, 0
+	// if there is no limit.
+	PerSecond float64
 }
 
 // RolloutOrder is an instruction of the operator to move the requests of a
--- a/internal/kcwarmup/zones.go
+++ b/internal/kcwarmup/zones.go
@@ -3,13 +3,9 @@
 // and evacuated availability zones.
 package kcwarmup
 
-import (
-	"github.com/kingcuprail/kingcuprail/internal/kcset"
-	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
-)
+import "github.com/kingcuprail/kingcuprail/internal/kcset"
 
-// maxZones bounds the evacuated zones, and those whose evacuation has ended. It is
-// far above the number of availability zones of a deployment.
+// maxZones bounds the evacuated zones. It is far above the number of availability zones of a deployment.
 const maxZones = 1024
 
 // Evacuation says that an availability zone is evacuated, or no longer is.
@@ -20,16 +16,13 @@
 
 // Zones holds the evacuated availability zones. The zero value holds none. It is not
 // safe for concurrent use.
-type Zones struct {
-	evacuated  kcset.Set[string]
-	returnedAt map[string]kcclock.Millis
-}
+type Zones struct{ evacuated kcset.Set[string] }
 
 // Apply applies records in their order and returns the changes. If snapshot is true,
 // evacuations that are not among them have ended.
-func (z *Zones) Apply(records []Evacuation, snapshot bool, now kcclock.Millis) (changes []Evacuation) {
+func (z *Zones) Apply(records []Evacuation, snapshot bool) (changes []Evacuation) {
 	if z.evacuated == nil {
-		z.evacuated, z.returnedAt = kcset.New[string](), make(map[string]kcclock.Millis)
+		z.evacuated = kcset.New[string]()
 	}
 	if snapshot {
 		named := kcset.New[string]()
@@ -48,13 +41,8 @@
 		}
 		if r.Active {
 			z.evacuated.Add(r.Zone)
-			delete(z.returnedAt, r.Zone)
 		} else {
 			z.evacuated.Remove(r.Zone)
-			if len(z.returnedAt) >= maxZones {
-				clear(z.returnedAt)
-			}
-			z.returnedAt[r.Zone] = now
 		}
 		changes = append(changes, r)
 	}
@@ -63,9 +51,3 @@
 
 // Evacuated reports whether a zone is evacuated.
 func (z *Zones) Evacuated(zone string) bool { return z.evacuated.Has(zone) }
-
-// ReturnedAt returns the time at which the last evacuation of a zone has ended.
-func (z *Zones) ReturnedAt(zone string) (at kcclock.Millis, ok bool) {
-	at, ok = z.returnedAt[zone]
-	return at, ok
-}
