--- a/internal/kcsoak/soak_test.go
+++ b/internal/kcsoak/soak_test.go
@@ -73,7 +73,8 @@
 port_range: [%d, %d]
 limits: {memory_mb: 200}
 bounds: {config_apply_ms: 2500, strict_revoke: true, revoke_ms: 5000, drain_ms: 2500, grace_s: 4,
-  retry_ratio: 0.9, retry_window_s: 10, retry_slack: 58, exposure_share: 0.6, session_s: 5}
+  retry_ratio: 0.9, retry_window_s: 10, retry_slack: 58, exposure_share: 0.6, session_s: 5,
+  cold_overage: 1.5, cold_slack: 5, evacuate_ms: 5000}
 platform: {address: "%s", form: log}
 `
 
