kcwarmup: Bound the cost of a change of the list of instances

Cause: after each change, the first decision on a cold upstream hashed all instances: 15 us with 300, which is the whole time of a choice. A plan of the configuration before also stayed in use for upstreams that were cold.

Change: an instance stops counting those ahead of it at the number of senders. Plans are kept per service until the list or the configuration changes.

--- a/internal/kcwarmup/warmup.go
+++ b/internal/kcwarmup/warmup.go
@@ -65,11 +65,15 @@
 	return p
 }
 
-// Rank returns the number of instances that come before one in the order in which
-// instances are chosen as senders of an upstream. listed holds the other ones.
-func Rank(upstream, instance string, listed []string) (ahead int) {
+// rank returns the number of instances that come before one in the order in which
+// instances are chosen as senders of an upstream, counted up to limit. listed holds
+// the other ones.
+func rank(upstream, instance string, listed []string, limit int) (ahead int) {
 	own := kcset.RendezvousHash(upstream, instance)
 	for _, other := range listed {
+		if ahead == limit {
+			break
+		}
 		if h := kcset.RendezvousHash(upstream, other); h > own || h == own && other < instance {
 			ahead++
 		}
@@ -123,12 +127,17 @@
 	// listed holds the other instances of the region.
 	listed    []string
 	listKnown bool
-	listing   int
+	// listing counts the lists and configurations, with which the senders change.
+	// plans holds the current plans by service.
+	listing int
+	plans   map[string]Plan
 }
 
 // SetServices sets what the configuration says of cold upstreams. Refresh must be
 // called for each upstream.
-func (w *Warmup) SetServices(services map[string]kctable.ColdStart) { w.services = services }
+func (w *Warmup) SetServices(services map[string]kctable.ColdStart) {
+	w.services, w.plans, w.listing = services, nil, w.listing+1
+}
 
 // HasRate reports whether upstreams of a service take few requests while cold.
 func (w *Warmup) HasRate(service string) bool { return w.services[service].PerSecond > 0 }
@@ -138,7 +147,7 @@
 	list := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == w.Instance })
 	slices.Sort(list)
 	if !w.listKnown || !slices.Equal(list, w.listed) {
-		w.listed, w.listKnown, w.listing = list, true, w.listing+1
+		w.listed, w.listKnown, w.listing, w.plans = list, true, w.listing+1, nil
 	}
 }
 
@@ -241,15 +250,23 @@
 	}
 	wasSender := s.planned && s.sender
 	c := w.services[s.service]
-	rank := Rank(s.upstream, w.Instance, w.listed)
-	s.plan = NewPlan(c.PerSecond, w.Overage, w.Slack, len(w.listed)+1)
-	s.sender = rank < s.plan.Senders
+	if w.plans == nil {
+		w.plans = make(map[string]Plan)
+	}
+	p, known := w.plans[s.service]
+	if !known {
+		p = NewPlan(c.PerSecond, w.Overage, w.Slack, len(w.listed)+1)
+		w.plans[s.service] = p
+	}
+	s.plan = p
+	ahead := rank(s.upstream, w.Instance, w.listed, s.plan.Senders)
+	s.sender = ahead < s.plan.Senders
 	every := s.plan.IntervalMs
 	switch {
 	case !s.sender:
 	case !s.planned:
 		// The first requests of the senders are spread over an interval.
-		s.nextAt = max(s.since+every*kcclock.Millis(rank+1)/kcclock.Millis(s.plan.Senders), s.sentAt+every)
+		s.nextAt = max(s.since+every*kcclock.Millis(ahead+1)/kcclock.Millis(s.plan.Senders), s.sentAt+every)
 	case wasSender:
 		s.nextAt = max(s.nextAt, s.sentAt+every)
 	default:
--- a/internal/kcwarmup/warmup_test.go
+++ b/internal/kcwarmup/warmup_test.go
@@ -197,3 +197,30 @@
 	}
 	return arrivals
 }
+
+// BenchmarkMay measures the decision for one cold upstream, with the list of instances
+// unchanged and changed before each decision, and for a warm upstream as the baseline.
+func BenchmarkMay(b *testing.B) {
+	for _, listed := range []int{80, 300} {
+		for _, c := range []string{"warm", "cold", "changedList"} {
+			b.Run(fmt.Sprint(c, listed, "instances"), func(b *testing.B) {
+				w := &kcwarmup.Warmup{Instance: "i0", Overage: 1.5, Slack: 5}
+				w.SetServices(map[string]kctable.ColdStart{"s": {ForMs: 3000, PerSecond: 11}})
+				lists := [][]string{names(0, listed), names(0, listed-1)}
+				w.SetInstances(lists[0])
+				s := &kcwarmup.State{}
+				if c != "warm" {
+					w.Observe(s, kcwarmup.Entry{Upstream: "u", Service: "s", Fresh: true}, 1000)
+				}
+				for i := 0; b.Loop(); i++ {
+					if c == "changedList" {
+						b.StopTimer()
+						w.SetInstances(lists[i%2])
+						b.StartTimer()
+					}
+					w.May(s, 1001, true)
+				}
+			})
+		}
+	}
+}
