kcadmit: Observe objectives by kind, document and test admission

Cause: callers that return shortly before their objective passes made the service look as if its objective were a few milliseconds: the pressure rose to 20 and engines were drained too slowly after a burst. The id of a request differs between the tries of a caller on the users' platform, so it cannot name a return. Without a known room, the proposed time to return was 20 ms, which made a storm. Change: the objective of a kind is the longest time until it in 10 to 20 s. Returns are known by ReturnOf only where callers name the operation. Without a known room, 700 ms as before. Engines below the pressure at which requests are held get work faster.

--- a/internal/kcadmit/controller.go
+++ b/internal/kcadmit/controller.go
@@ -46,8 +46,6 @@
 	// counted. rejectionsFull is the share of rejections that shows that all
 	// upstreams are full: more than one broken upstream of seven can cause.
 	rejectionWindow, rejectionsFull = 20.0, 0.3
-	// objectiveMemoryMs is how long the least objective of the requests counts.
-	objectiveMemoryMs = 10_000.0
 	// maxDebt is the number of mean requests that urgent requests and quiet
 	// workspaces may be admitted ahead of the pace, and that may be saved up.
 	maxDebt = 1.0
@@ -90,7 +88,9 @@
 	// means DeadlineAt.
 	PatienceUntil kcclock.Millis
 	Bytes         int64
-	// ReturnOf is the identity of the earlier refusal, if any.
+	// ReturnOf is the identity of the operation, which an earlier refusal of this
+	// instance has in common with it. It is empty where callers name none: the id of
+	// a request on the users' platform is another one for each try.
 	ReturnOf string
 	// Again is true if the request was admitted before and an upstream rejected it.
 	Again bool
@@ -176,8 +176,9 @@
 	tokens, meanCost float64
 	// objective is the least recent latency objective, and prompts tells whether
 	// the service prefills prompts.
-	objective float64
-	prompts   bool
+	objective   float64
+	objectiveAt kcclock.Millis
+	prompts     bool
 	// rejections is the recent share of admissions that upstreams have rejected.
 	rejections float64
 	lanes      laneSet
@@ -238,12 +239,15 @@
 	if r.Again {
 		c.rejected()
 	}
-	c.observe(now, &r)
-	c.update(now, room)
+	c.prompts = r.Prompt
 	l := c.lanes.lane(now, &r)
 	if !r.Again {
-		l.kind.arrive(now)
+		l.kind.arrive(now, float64(r.ObjectiveAt-now))
 	}
+	if c.objective == 0 || now-c.objectiveAt >= recountMs {
+		c.objective, c.objectiveAt = c.lanes.leastObjective(now), now
+	}
+	c.update(now, room)
 	c.usage.add(now, r.Workspace, r.CostMs)
 	if c.pressure <= c.holdFrom() && c.waiting == 0 {
 		l.kind.serve(now)
@@ -343,20 +347,6 @@
 	}
 }
 
-// observe records what a request tells about the service.
-func (c *Controller) observe(now kcclock.Millis, r *Request) {
-	c.prompts = r.Prompt
-	objective := float64(r.ObjectiveAt - now)
-	if r.Again || objective <= 0 {
-		return
-	}
-	if c.objective == 0 || objective < c.objective {
-		c.objective = objective
-		return
-	}
-	c.objective += (objective - c.objective) * min(float64(now-c.at)/objectiveMemoryMs, 1)
-}
-
 // update brings the pressure, the pace and the tokens to the present.
 func (c *Controller) update(now kcclock.Millis, room kcroom.Room) {
 	dt := float64(max(now-c.at, 0))
@@ -445,7 +435,10 @@
 		return max(1-gain*(pressure-1), minPace)
 	}
 	below := max(1-pressure/c.holdFrom(), 0)
-	return 1 + gain*(1-pressure) + (maxPace-1)*below*below
+	if !c.prompts {
+		below *= below
+	}
+	return 1 + gain*(1-pressure) + (maxPace-1)*below
 }
 
 // cost returns the time of the service that a request uses, in milliseconds of the
@@ -495,7 +488,11 @@
 // lastStart returns the latest time at which a request can be sent and its response
 // still comes before the deadline.
 func (c *Controller) lastStart(r *Request) kcclock.Millis {
-	return r.DeadlineAt - max(kcclock.Millis(r.CostMs+deadlineMargin*c.upstreamWaitMs(r)), kcclock.Millisecond)
+	needMs := r.CostMs + deadlineMargin*c.upstreamWaitMs(r)
+	if r.Prompt {
+		needMs += promptMargin * c.objective
+	}
+	return r.DeadlineAt - max(kcclock.Millis(needMs), kcclock.Millisecond)
 }
 
 // mayPass reports whether a request is admitted without waiting. The pace must
@@ -594,10 +591,10 @@
 // Callers follow a proposal of at most a third of the time that they have left.
 func (c *Controller) retryAfter(now kcclock.Millis, r *Request) kcclock.Millis {
 	if c.stale {
-		return c.returns.add(now, r, 0, float64(staleReturnMs))
+		return c.returns.add(now, r, 0, staleReturnMs)
 	}
 	spacing := max(c.meanCost, c.cost(r)) / max(c.share, minShare)
-	return c.returns.add(now, r, spacing, float64(c.waiting)*spacing)
+	return c.returns.add(now, r, spacing, kcclock.Millis(float64(c.waiting)*spacing))
 }
 
 func (c *Controller) heldTicket(now kcclock.Millis, e *entry, d Decision, reason string) Ticket {
--- a/internal/kcadmit/controller_test.go
+++ b/internal/kcadmit/controller_test.go
@@ -121,6 +121,19 @@
 	}
 }
 
+// Guards against a larger advantage of callers that ignore the time to return where a
+// return cannot be told from a new request. Then both come in the order of their
+// deadlines, and obeying costs the time that is spent outside of the queue.
+func TestReturningAtOnceWithoutAName(t *testing.T) {
+	t.Parallel()
+	with, _ := playBoth(t, loadNamed(t, "callers without a name that retry at once"), 1)
+	r := with.by(byObedience)
+	t.Logf("obedient: %v; others: %v", *r["obedient true"], *r["obedient false"])
+	if r["obedient true"].served() < r["obedient false"].served()-0.08 {
+		t.Error("callers that ignore the time to return are served much more often")
+	}
+}
+
 // Guards against requests that are held or refused although there is room.
 func TestCalmHoldsNothing(t *testing.T) {
 	t.Parallel()
@@ -278,10 +291,98 @@
 	for c.Enter(1001, Request{Kind: "k", CostMs: 60, ObjectiveAt: 9000, DeadlineAt: 9500}, full).Decision == Admitted {
 	}
 	early := c.Enter(1001, Request{Kind: "k", CostMs: 60, ObjectiveAt: 1300, DeadlineAt: 2500, ReturnOf: "9"}, full)
-	c.Release(1280, full)
 	c.tokens = 0
-	back := c.Enter(1280, Request{Kind: "k", CostMs: 60, ObjectiveAt: 9000, DeadlineAt: 9500, ReturnOf: "3"}, full)
-	if early.Decision == Admitted || early.RetryAfterMs < 100 || back.Decision != Admitted {
-		t.Errorf("early: %v, to return after %d ms; in time: %v", early.Decision, early.RetryAfterMs, back.Decision)
+	in := Request{Kind: "k", CostMs: 60, ObjectiveAt: 9000, DeadlineAt: 9500}
+	other := c.Enter(1280, in, full)
+	in.ReturnOf = "3"
+	back := c.Enter(1280, in, full)
+	if early.Decision != Refused || early.RetryAfterMs < 100 || back.Decision != Admitted || other.Decision != Held {
+		t.Errorf("early: %v, to return after %d ms; in time: %v; new: %v",
+			early.Decision, early.RetryAfterMs, back.Decision, other.Decision)
+	}
+}
+
+// Guards against a workspace that sends several times as much as the others and still
+// runs ahead of the pace.
+func TestHeavyWorkspaceHasNoCredit(t *testing.T) {
+	u := newUsage()
+	for i := range 300 {
+		u.add(1000+kcclock.Millis(i), "heavy", 60)
+		if i%10 < 3 {
+			u.add(1000+kcclock.Millis(i), fmt.Sprint("w", i%10), 60)
+		}
+	}
+	if heavy, light := u.credit(1300, "heavy"), u.credit(1300, "w1"); heavy > 0.1 || light < 1 {
+		t.Errorf("credit %v for ten times the requests of the others, %v for them", heavy, light)
+	}
+}
+
+// Guards against a pressure that follows callers which return shortly before their
+// objective passes: it would look as if the service had a very short one.
+func TestReturnsDoNotShortenTheObjective(t *testing.T) {
+	c, room := New(Options{}), kcroom.Room{Upstreams: 7, Slots: 42, Busy: 60, Queueable: 150, HoldMs: 60}
+	for i := range 100 {
+		now := kcclock.Millis(1000 + 10*i)
+		for _, left := range []kcclock.Millis{300, 1} {
+			c.Enter(now+left%2, Request{Kind: "k", CostMs: 60, ObjectiveAt: now + left, DeadlineAt: now + 2500}, room)
+		}
+	}
+	c.objectiveAt = 0
+	c.Enter(2000, Request{Kind: "k", CostMs: 60, ObjectiveAt: 2001, DeadlineAt: 4500}, room)
+	if c.objective != 300 || c.Pressure() > 0.3 {
+		t.Errorf("objective %v ms, pressure %v", c.objective, c.Pressure())
+	}
+}
+
+// Guards against kinds of the same urgency of which one is served at the cost of the
+// other.
+func TestLeastServedKindIsNext(t *testing.T) {
+	c, full := New(Options{}), kcroom.Room{Upstreams: 7, Slots: 42, Busy: 210, HoldMs: 60, WaitMs: 240}
+	for range 30 {
+		for _, kind := range []string{"a", "b", "c"} {
+			c.Enter(1000, Request{Kind: kind, CostMs: 60, ObjectiveAt: 3000, DeadlineAt: 90_000}, full)
+		}
+	}
+	for i, l := range c.lanes.list {
+		l.kind.served.n = float64(20 - i)
+	}
+	last := c.lanes.list[2]
+	if l, late := c.lanes.next(1000); l != last || late {
+		t.Errorf("kind %s is next, want %s, which is served least", l.laneKey.kind, last.laneKey.kind)
+	}
+}
+
+// Guards against capacity that stays unused because other instances have nothing held,
+// and against an instance that keeps more than its share afterwards.
+func TestShareGrowsWhileCapacityIsUnused(t *testing.T) {
+	c, room := New(Options{}), kcroom.Room{Upstreams: 7, Slots: 42, Busy: 110, Queueable: 100, HoldMs: 60}
+	c.SetSenders(80)
+	r := Request{Kind: "k", CostMs: 60, ObjectiveAt: 99_000, DeadlineAt: 99_000}
+	now := kcclock.Millis(1000)
+	for ; now < 21_000; now += 10 {
+		c.Enter(now, r, room)
+		c.Release(now, room)
+	}
+	grown := c.share
+	for ; now < 61_000; now += 10 {
+		c.Release(now, kcroom.Room{Upstreams: 7, Slots: 42, Queueable: 168, HoldMs: 60})
+	}
+	if grown < 1.5 || grown > maxShare || math.Abs(c.share-1) > 0.1 {
+		t.Errorf("share %.2f after 20 s with unused capacity, %.2f after 40 s of calm", grown, c.share)
+	}
+}
+
+// Guards against a step in the pressure when the figures become too old.
+func TestPressureFadesWithTheAgeOfTheFigures(t *testing.T) {
+	c, last := New(Options{}), 10.0
+	for age := kcclock.Millis(0); age <= 1600; age += 10 {
+		c.update(1000, kcroom.Room{Upstreams: 7, Slots: 42, Busy: 210, HoldMs: 60, AgeMs: age})
+		if p := c.Pressure(); p > last || age > 10 && last-p > 0.05 {
+			t.Fatalf("the pressure changes from %.2f to %.2f at an age of %d ms", last, p, age)
+		}
+		last = c.Pressure()
+	}
+	if last != 0 {
+		t.Errorf("pressure %.2f with figures of 1,600 ms", last)
 	}
 }
--- a/internal/kcadmit/lanes.go
+++ b/internal/kcadmit/lanes.go
@@ -23,6 +23,8 @@
 	servedTolerance = 0.02
 	// activeKindMs is how long a kind without requests counts as active.
 	activeKindMs = 2000 * kcclock.Millisecond
+	// objectivePeriodMs is the period over which the objective of a kind is observed.
+	objectivePeriodMs = 10_000 * kcclock.Millisecond
 )
 
 // decayingCount is an exponentially weighted count.
@@ -46,11 +48,20 @@
 type kindStats struct {
 	arrived, served decayingCount
 	lastAt          kcclock.Millis
+	// objective is the longest time that requests had until their objective since
+	// objectiveAt, previous that in the period before. Those that come back after a
+	// refusal may have less.
+	objective, previous float64
+	objectiveAt         kcclock.Millis
 }
 
-func (k *kindStats) arrive(now kcclock.Millis) {
+func (k *kindStats) arrive(now kcclock.Millis, objective float64) {
 	k.arrived.add(now, 1, servedWindowMs)
 	k.lastAt = now
+	if now-k.objectiveAt >= objectivePeriodMs {
+		k.previous, k.objective, k.objectiveAt = k.objective, 0, now
+	}
+	k.objective = max(k.objective, objective)
 }
 
 func (k *kindStats) serve(now kcclock.Millis) { k.served.add(now, 1, servedWindowMs) }
@@ -131,6 +142,18 @@
 	return l
 }
 
+// leastObjective returns the least latency objective of the active kinds, 0 if there
+// is none.
+func (s *laneSet) leastObjective(now kcclock.Millis) (least float64) {
+	for _, l := range s.list {
+		objective := max(l.kind.objective, l.kind.previous)
+		if objective > 0 && now-l.kind.lastAt < objectivePeriodMs && (least == 0 || objective < least) {
+			least = objective
+		}
+	}
+	return least
+}
+
 // trim removes lanes that are not in use.
 func (s *laneSet) trim(now kcclock.Millis) {
 	s.list = slices.DeleteFunc(s.list, func(l *lane) bool {
--- a/internal/kcadmit/returns.go
+++ b/internal/kcadmit/returns.go
@@ -33,15 +33,16 @@
 func newReturns() returns { return returns{current: make(map[uint64]kcclock.Millis)} }
 
 // add reserves the next time for a refused caller and returns how long that is from
-// now. backlogMs is the time in which the requests that are held are admitted.
-func (t *returns) add(now kcclock.Millis, r *Request, spacingMs, backlogMs float64) kcclock.Millis {
+// now. The next caller is told a time that is spacingMs later, and none is told to
+// return before leastMs.
+func (t *returns) add(now kcclock.Millis, r *Request, spacingMs float64, leastMs kcclock.Millis) kcclock.Millis {
 	until := max(r.PatienceUntil, r.DeadlineAt)
 	longest := min(max((until-now)/patienceShare, 1), maxReturnMs)
 	if at, known := t.lookup(r.ReturnOf); known && at > now {
 		// A caller that returns early keeps its time.
 		return min(at-now, longest)
 	}
-	at := max(t.nextAt, float64(now+minReturnMs)+backlogMs)
+	at := max(t.nextAt, float64(now+max(leastMs, minReturnMs)))
 	after := kcclock.Millis(at) - now
 	if after > longest {
 		// A later time would not be kept. The longest one differs between callers
--- a/internal/kcgate/admission.go
+++ b/internal/kcgate/admission.go
@@ -54,7 +54,7 @@
 		Workspace: x.workspace, Kind: x.route.Name, Urgency: x.rank, Prompt: p.tokens > 0,
 		CostMs:      p.msPerToken * float64(p.tokens),
 		ObjectiveAt: x.receivedAt + cmp.Or(x.route.LatencyObjectiveMs, x.deadline-x.receivedAt), DeadlineAt: x.deadline,
-		PatienceUntil: x.receivedAt + x.meta.CallerTimeoutMs, Bytes: int64(len(x.body)), ReturnOf: x.meta.ID, Again: again,
+		PatienceUntil: x.receivedAt + x.meta.CallerTimeoutMs, Bytes: int64(len(x.body)), Again: again,
 	}
 }
 
