--- a/internal/kcgate/admission_test.go
+++ b/internal/kcgate/admission_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcadmit"
+	"github.com/kingcuprail/kingcuprail/internal/kcgate"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcroom"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -153,6 +154,44 @@
 	}
 }
 
+// Guards against a gateway that is not connected to admission, that holds requests
+// without a shortage, or that tells all callers the same time to return.
+func TestOverloadControl(t *testing.T) {
+	full := atomic.Bool{}
+	e := newEngine(t, func(_ int, req *http.Request, _ string, w net.Conn) bool {
+		if full.Load() {
+			return reply(w, req, "503 Service Unavailable", "Not-Run: 1\r\n", "full")
+		}
+		return reply(w, req, "200 OK", "Load: 1,0,4\r\n", "done")
+	})
+	f := newFixture(t, []kctable.Route{route("once", kctable.NonIdempotent)}, e)
+	opts := f.gate.Options
+	opts.Deployment.Overload, opts.Metrics = true, kcmetric.New()
+	gate := kcgate.New(opts)
+	gate.SetTable(f.gate.Table())
+	gate.Upstreams.Replace([]kctable.Upstream{{
+		ID: "e0", Service: "svc", Address: e.ln.Addr().String(), Zone: "z", Version: "v1", Slots: 4, StartedAtMs: 1,
+	}}, 0)
+	gate.Rollouts.MarkStatesLoaded()
+	gate.Quarantine.MarkSynced()
+	f.serve(t, gate)
+	for range 20 {
+		if resp, _, err := f.request(t, "/once/x"); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+	}
+	var text strings.Builder
+	_, _ = opts.Metrics.WriteTo(&text)
+	if !strings.Contains(text.String(), "admission.svc.waiting 0") || strings.Contains(text.String(), "admission.held") {
+		t.Errorf("calm:\n%s", text.String())
+	}
+	full.Store(true)
+	resp, _, err := f.request(t, "/once/x")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "0.02" {
+		t.Errorf("full: %v, %v", resp, err)
+	}
+}
+
 // Guards against a caller that has disconnected and keeps its place in the queue.
 func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
 	a := newAdmissionFixture(t, answerOK)
