--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -25,6 +25,9 @@
 	MemoryMB int
 	// LinkMbps is the bandwidth of the machine in Mbit/s, 0 if unknown.
 	LinkMbps int
+	// Overload enables admission under overload and the bound on the memory of
+	// upstreams.
+	Overload bool
 	Bounds   Bounds
 }
 
