kcspeed: Choose upstreams by the speed that they name, and share it between instances

A fourth field of Load disabled the whole header. It is now read as the speed of the upstream; wrong figures are ignored and counted in answers.ignoredLoad.

Expected times follow a mean over independent figures and the deviation of the newest one, which fades within 500 ms and does not outlast its phase in a long queue. Load reports carry the newest load and speed that an instance has heard, in a format of their own that is only used where an upstream names a speed; a report without figures has the same bytes as before. Figures that a peer has told are not passed on, because each hop would make them look younger.

The cost of other zones therefore includes the work that reports do not tell yet, and upstreams in other regions are taken to be half as busy as the near ones unless they have told their load. Both apply only to services that name speeds.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -246,8 +246,11 @@
 	head := x.g.Codec.DecodeResponse(resp.Response)
 	x.g.Upstreams.recordLimit(c, head)
 	x.g.Upstreams.recordNotices(c, resp.StatusCode, head)
-	for range head.IgnoredNotices {
-		x.g.Metrics.Count("answers.ignoredNotice")
+	if head.IgnoredNotices > 0 {
+		x.g.Metrics.Add("answers.ignoredNotice", int64(head.IgnoredNotices))
+	}
+	if head.IgnoredLoads > 0 {
+		x.g.Metrics.Add("answers.ignoredLoad", int64(head.IgnoredLoads))
 	}
 	return head
 }
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
+	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -62,9 +63,7 @@
 }
 
 // Load is the load that an upstream reports with a response.
-type Load struct {
-	Running, Waiting, Slots int
-}
+type Load = kcspeed.Load
 
 // ResponseMeta is what the headers of a response say.
 type ResponseMeta struct {
@@ -74,8 +73,10 @@
 	// application.
 	FromApplication bool
 	Load            Load
-	// HasLoad is true if Load was reported.
-	HasLoad bool
+	// HasLoad is true if Load was reported. IgnoredLoads is the number of reported
+	// figures on load or speed that make no sense.
+	HasLoad      bool
+	IgnoredLoads int
 	// Confidence is the model's confidence in its answer, from 0 to 100.
 	Confidence    int
 	HasConfidence bool
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -27,6 +27,15 @@
 	holdMs float64
 }
 
+// serviceMs returns how long a request without a prompt occupies an idle upstream
+// of the usual speed. The time to the first event of others is their prefill time.
+func (w *pickCriteria) serviceMs() float64 {
+	if w.prompt.tokens > 0 {
+		return 0
+	}
+	return w.holdMs
+}
+
 // accepts reports whether an upstream may get the request.
 func (l *Upstreams) accepts(w *pickCriteria, u *upstream, now kcclock.Millis) bool {
 	return !u.leaving() && !u.paused(now) && w.allowsVersion(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now) &&
@@ -55,7 +64,7 @@
 	candidates := l.candidates(&w, now)
 	home := l.prefixHome(&w, candidates, now)
 	list := l.sample(&w, candidates, home, now)
-	l.countPick(w.service, now)
+	service := l.state(w.service)
 	workers := make([]kcroute.UpstreamWork, len(list))
 	for i, u := range list {
 		workers[i] = kcroute.UpstreamWork{
@@ -65,8 +74,15 @@
 		}
 	}
 	addFailurePenalty(now, workers, list)
+	if service.namesSpeed {
+		l.addStaleness(service, now, workers, list)
+		for i, u := range list {
+			workers[i].ApplyPace(u.figures.Pace(now), w.serviceMs())
+		}
+	}
 	i := kcroute.ChooseFastestUpstream(workers)
 	if i < 0 {
+		service.picks.Add(now, 0)
 		return nil, false
 	}
 	u := list[i]
@@ -76,13 +92,37 @@
 		u.lastActivityAt.Store(int64(now))
 	}
 	u.inFlight++
+	u.figures.Sent(now)
 	u.pendingWorkMs += workers[i].RequestMs
+	service.picks.Add(now, workers[i].RequestMs)
 	l.prefixes.add(w.prompt, u.ID, now)
 	return &pickedUpstream{
 		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), pendingWorkMs: workers[i].RequestMs,
 	}, true
 }
 
+// addStaleness adds the work that reports from other availability zones do not tell
+// yet to the cost of upstreams there, if upstreams of the service name their speed.
+func (l *Upstreams) addStaleness(s *serviceState, now kcclock.Millis, workers []kcroute.UpstreamWork, list []*upstream) {
+	queuedMs, n := 0.0, 0
+	for i, u := range list {
+		if l.distance(u) == inRegion {
+			queuedMs, n = queuedMs+workers[i].QueuedMs, n+1
+		}
+	}
+	staleMs := s.picks.Staleness(now, l.farReports, queuedMs/float64(max(n, 1)))
+	for i, u := range list {
+		if l.distance(u) != inZone {
+			workers[i].DistanceMs += staleMs
+		}
+		if l.distance(u) == inOtherRegion {
+			workers[i].Unreported = !u.figures.Fresh(now)
+			workers[i].QueuedMs = max(workers[i].QueuedMs, float64(u.figures.Waiting(now))*s.picks.MeanWorkMs())
+		}
+	}
+	kcroute.AssumeMeanQueue(workers)
+}
+
 // addFailurePenalty adds a cost to upstreams that fail more often than the
 // others, although they report themselves healthy.
 func addFailurePenalty(now kcclock.Millis, workers []kcroute.UpstreamWork, list []*upstream) {
--- a/internal/kcgate/placement.go
+++ b/internal/kcgate/placement.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -124,6 +125,7 @@
 type peerLoad struct {
 	seq    uint64
 	at     kcclock.Millis
+	far    bool
 	shares []kcload.UpstreamLoad
 }
 
@@ -134,17 +136,42 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peerLoads[m.Instance]
-	if p == nil {
-		p = &peerLoad{}
+	switch {
+	case p == nil:
+		p = &peerLoad{far: l.peerZones[m.Instance] != l.zone}
 		l.peerLoads[m.Instance] = p
-	} else if m.Seq <= p.seq {
+	case m.Seq <= p.seq:
 		return
+	case p.far:
+		l.farReports.Remove(p.at)
+	}
+	if p.far {
+		l.farReports.Add(now)
 	}
 	l.addPeerLoad(p, -1)
 	l.peerReportTimes += now - p.at
 	p.seq, p.at, p.shares = m.Seq, now, m.Loads
 	l.addPeerLoad(p, 1)
 	l.addPeerActivity(m.Loads, now)
+	l.addPeerFigures(m.Loads, now)
+}
+
+// addPeerFigures records what a peer has heard from upstreams about their load and
+// speed. An instance among hundreds hears of an upstream itself every half minute.
+func (l *Upstreams) addPeerFigures(loads []kcload.UpstreamLoad, now kcclock.Millis) {
+	for _, s := range loads {
+		if u := l.byID[s.Upstream]; u != nil && s.HasFigure {
+			u.figures.Merge(now-kcclock.Millis(s.FigureMsAgo), s.Figure, u.inFlight)
+			l.recordSpeedNamed(u, s.Figure)
+		}
+	}
+}
+
+// recordSpeedNamed records that an upstream names its speed, if it does.
+func (l *Upstreams) recordSpeedNamed(u *upstream, load Load) {
+	if load.Speed > 0 && !l.state(u.Service).namesSpeed {
+		l.state(u.Service).namesSpeed, l.sharesFigures = true, true
+	}
 }
 
 func (l *Upstreams) addPeerLoad(p *peerLoad, sign int) {
@@ -185,6 +212,9 @@
 		if now-p.at > peerLoadTTLMs {
 			l.addPeerLoad(p, -1)
 			l.peerReportTimes -= p.at
+			if p.far {
+				l.farReports.Remove(p.at)
+			}
 			delete(l.peerLoads, name)
 		}
 	}
@@ -198,14 +228,22 @@
 	defer l.mu.Unlock()
 	var out []kcload.UpstreamLoad
 	for _, u := range l.byID {
-		if u.inFlight > 0 {
+		figure, age, heard := u.figures.Own(now)
+		heard = heard && l.sharesFigures
+		if u.inFlight > 0 || heard && age <= kcspeed.DeviationSpanMs {
 			s := kcload.UpstreamLoad{Upstream: u.ID, PendingWorkMs: int(u.pendingWorkMs), RunningRequests: u.inFlight}
 			if heardAt := u.heardAt.Load(); heardAt != 0 {
 				s.Heard, s.HeardMsAgo = true, int(int64(now)-heardAt)
 			}
+			if heard {
+				figure.Slots = 0
+				s.HasFigure, s.Figure, s.FigureMsAgo = true, figure, int(age)
+			}
 			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b kcload.UpstreamLoad) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	slices.SortFunc(out, func(a, b kcload.UpstreamLoad) int {
+		return cmp.Or(cmp.Compare(min(b.RunningRequests, 1), min(a.RunningRequests, 1)), cmp.Compare(a.Upstream, b.Upstream))
+	})
 	return out
 }
--- a/internal/kcgate/placement_test.go
+++ b/internal/kcgate/placement_test.go
@@ -70,7 +70,7 @@
 
 // placeByAllWork compares all engines, however old the reports of peers are.
 func placeByAllWork(rnd *rand.Rand, own *Upstreams, w pickCriteria, queued []int) (*pickedUpstream, int) {
-	clear(own.pickRates)
+	clear(own.services)
 	return placeByWork(rnd, own, w, queued)
 }
 
--- a/internal/kcgate/sample.go
+++ b/internal/kcgate/sample.go
@@ -4,13 +4,11 @@
 	"math"
 	"slices"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
 const (
-	// pickRateWindowMs is the window of the moving rate of picks: long enough to
-	// hold some picks of an instance among hundreds, and shorter than a burst.
-	pickRateWindowMs = 2000 * kcclock.Millisecond
 	// maxUnseenPicks is the number of picks of others that an instance may not
 	// know of while it compares all upstreams. With n times as many it compares
 	// one upstream in n.
@@ -20,33 +18,27 @@
 	minSample = 2
 )
 
-// pickRate is the exponentially weighted rate of picks for a service.
-type pickRate struct {
-	count float64
-	at    kcclock.Millis
+// serviceState is what this instance keeps for a service.
+type serviceState struct {
+	picks kcspeed.PickRate
+	// namesSpeed is true once an upstream of the service has named its speed.
+	namesSpeed bool
 }
 
-func (r *pickRate) add(now kcclock.Millis) {
-	r.count, r.at = r.countAt(now)+1, now
-}
-
-func (r *pickRate) countAt(now kcclock.Millis) float64 {
-	return r.count * math.Exp(-float64(now-r.at)/float64(pickRateWindowMs))
-}
-
-// perMs returns the picks per millisecond.
-func (r *pickRate) perMs(now kcclock.Millis) float64 {
-	return r.countAt(now) / float64(pickRateWindowMs)
+// state returns the state of a service.
+func (l *Upstreams) state(service string) *serviceState {
+	s := l.services[service]
+	if s == nil {
+		s = &serviceState{}
+		l.services[service] = s
+	}
+	return s
 }
 
 // unseenPicks estimates how many picks for a service the other instances have
 // made since their last reports, if each makes as many as this one.
 func (l *Upstreams) unseenPicks(service string, now kcclock.Millis) float64 {
-	r := l.pickRates[service]
-	if r == nil {
-		return 0
-	}
-	return r.perMs(now) * float64(l.peerReportAgeSum(now))
+	return l.state(service).picks.PerMs(now) * float64(l.peerReportAgeSum(now))
 }
 
 // peerReportAgeSum returns the sum of the ages of the reports of all peers.
@@ -54,15 +46,6 @@
 	return kcclock.Millis(len(l.peerLoads))*now - l.peerReportTimes
 }
 
-func (l *Upstreams) countPick(service string, now kcclock.Millis) {
-	r := l.pickRates[service]
-	if r == nil {
-		r = &pickRate{}
-		l.pickRates[service] = r
-	}
-	r.add(now)
-}
-
 // sample returns the upstreams that are compared for a request, in random order,
 // so that instances do not all choose the same one of equal ones. It answers
 // loads of hundreds of instances: all of them would choose the upstream that
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -12,17 +12,12 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
+	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
 const (
-	// loadReportTTLMs is how long a reported load counts. After that, most of the
-	// requests that it includes have ended.
-	loadReportTTLMs = 2500 * kcclock.Millisecond
-	// fullTTLMs is how long an upstream that rejected a request for lack of room
-	// counts as full, if it does not report its load.
-	fullTTLMs = 250 * kcclock.Millisecond
 	// crashWindowMs is the time within which interrupted responses of one
 	// upstream count as one crash. Crashed upstreams are down for about as long.
 	crashWindowMs = 2000 * kcclock.Millisecond
@@ -59,11 +54,8 @@
 	peersWorkMs   float64
 	peersRunning  int
 	breaker       *kcretry.Breaker
-	// reportedLoad is the last reported load. At that time, loadReportedAt,
-	// inFlightAtReport requests of this instance were in flight.
-	reportedLoad     Load
-	loadReportedAt   kcclock.Millis
-	inFlightAtReport int
+	// figures is what the upstream says about its load and speed.
+	figures kcspeed.Upstream
 	// lastActivityAt is when the upstream last sent anything, or when the oldest
 	// running request was sent if that is later.
 	// It includes what peers have heard.
@@ -93,11 +85,7 @@
 
 // estimatedLoad returns the estimated number of running and waiting requests.
 func (u *upstream) estimatedLoad(now kcclock.Millis) int {
-	known := u.inFlight + u.peersRunning
-	if u.loadReportedAt == 0 || now-u.loadReportedAt > loadReportTTLMs {
-		return known
-	}
-	return max(u.reportedLoad.Running+u.reportedLoad.Waiting+u.inFlight-u.inFlightAtReport, known)
+	return u.figures.EstimatedLoad(now, u.inFlight+u.peersRunning, u.inFlight)
 }
 
 // Upstreams holds the upstreams of all services.
@@ -127,13 +115,17 @@
 	leavingProcesses map[processID]kcclock.Millis
 	// peerZones holds the availability zones of the other instances of the region.
 	peerZones map[string]string
+	// sharesFigures is true once an upstream has named its speed: peers are then told
+	// what upstreams say of their load and speed.
+	sharesFigures bool
 	// peersCheckedAt is the time of the last check for reports that have expired.
 	peersCheckedAt kcclock.Millis
 	// peerReportTimes is the sum of the times of the reports in peerLoads.
 	peerReportTimes kcclock.Millis
-	// pickRates holds the rates of picks by service.
-	pickRates map[string]*pickRate
-	prefixes  prefixCache
+	// farReports holds the times of those from other availability zones.
+	farReports kcspeed.ReportTimes
+	services   map[string]*serviceState
+	prefixes   prefixCache
 	// order is the buffer in which sample shuffles upstreams.
 	order []*upstream
 	// intN is a source of randomness that tests replace.
@@ -146,7 +138,7 @@
 		clock: clock, log: slog.New(slog.DiscardHandler), zone: zone, region: regions[zone], regions: regions,
 		byID:   make(map[string]*upstream),
 		loaded: make(chan struct{}), intN: rand.IntN, peerLoads: make(map[string]*peerLoad),
-		pickRates: make(map[string]*pickRate), versionsOf: make(map[string]versionCounts),
+		services: make(map[string]*serviceState), versionsOf: make(map[string]versionCounts),
 		leavingProcesses: make(map[processID]kcclock.Millis),
 	}
 }
@@ -402,8 +394,7 @@
 	case outcomeFailed:
 		c.u.breaker.Record(now, false)
 	case outcomeFull:
-		c.u.reportedLoad = Load{Running: c.u.Slots, Waiting: 1, Slots: c.u.Slots}
-		c.u.inFlightAtReport, c.u.loadReportedAt = c.u.inFlight, now-loadReportTTLMs+fullTTLMs
+		c.u.figures.RecordFull(now, c.u.Slots, c.u.inFlight)
 	case outcomeNeutral:
 	}
 }
@@ -413,6 +404,7 @@
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.u.reportedLoad, c.u.inFlightAtReport, c.u.loadReportedAt = load, c.u.inFlight, now
+	c.u.figures.Record(now, load, c.u.inFlight)
+	l.recordSpeedNamed(c.u, load)
 	c.u.markActive(now)
 }
--- a/internal/kcload/kcload.go
+++ b/internal/kcload/kcload.go
@@ -9,6 +9,8 @@
 	"slices"
 
 	"github.com/zeebo/errs"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
 )
 
 // UpstreamLoad is the work of one instance at one upstream.
@@ -23,6 +25,15 @@
 	// milliseconds before the message.
 	Heard      bool
 	HeardMsAgo int
+	// Tokens is the number of prompt and output tokens of the running requests. It
+	// is 0 if it is not told.
+	Tokens int
+	// Figure is the newest load and speed that the instance has heard from the
+	// upstream itself, without its slots, FigureMsAgo milliseconds before the
+	// message. They are only set if HasFigure is.
+	HasFigure   bool
+	Figure      kcspeed.Load
+	FigureMsAgo int
 }
 
 // Message is the complete state of one instance.
@@ -41,7 +52,7 @@
 func (m Message) SameState(other Message) bool {
 	return m.Instance == other.Instance && m.CanReadStore == other.CanReadStore &&
 		slices.EqualFunc(m.Loads, other.Loads, func(a, b UpstreamLoad) bool {
-			b.HeardMsAgo = a.HeardMsAgo
+			b.HeardMsAgo, b.FigureMsAgo = a.HeardMsAgo, a.FigureMsAgo
 			return a == b
 		})
 }
@@ -50,6 +61,10 @@
 	// messageFormat is the first byte of a load report. Reports of format 1 do not
 	// tell when upstreams were heard, and are refused.
 	messageFormat = 4
+	// figuresFormat is the first byte of a load report with figures of upstreams,
+	// which follow the loads. It is only used if there are any. Instances that do
+	// not know it refuse it.
+	figuresFormat = 8
 	// MaxMessageBytes bounds a message so that it fits into one packet of an
 	// Ethernet link.
 	MaxMessageBytes = 1400
@@ -61,21 +76,30 @@
 
 // Encode returns the encoded message. It omits the loads that do not fit.
 func Encode(m Message) []byte {
-	b := []byte{messageFormat}
+	if slices.ContainsFunc(m.Loads, UpstreamLoad.hasExtra) {
+		return encodeWithFigures(m)
+	}
+	b, _ := appendLoads([]byte{messageFormat}, m, MaxMessageBytes)
+	return b
+}
+
+// appendLoads appends a message without figures that is no longer than size, and
+// returns the number of loads in it.
+func appendLoads(b []byte, m Message, size int) ([]byte, int) {
 	b = appendString(b, m.Instance)
 	b = binary.AppendUvarint(b, m.Seq)
 	b = binary.AppendUvarint(b, messageFlags(m))
-	for _, s := range m.Loads {
+	for i, s := range m.Loads {
 		next := appendString(b, s.Upstream)
 		next = binary.AppendUvarint(next, uint64(max(s.PendingWorkMs, 0)))
 		next = binary.AppendUvarint(next, uint64(max(s.RunningRequests, 0)))
 		next = binary.AppendUvarint(next, encodeHeard(s))
-		if len(next) > MaxMessageBytes {
-			break
+		if len(next) > size {
+			return b, i
 		}
 		b = next
 	}
-	return b
+	return b, len(m.Loads)
 }
 
 // encodeHeard returns 0 if nothing was heard, and one more than the time since
@@ -113,10 +137,14 @@
 // Decode decodes a message.
 func Decode(b []byte) (Message, error) {
 	var m Message
-	if len(b) == 0 || b[0] != messageFormat {
+	if len(b) == 0 || b[0] != messageFormat && b[0] != figuresFormat {
 		return m, errs.New("unknown message format")
 	}
 	d := decoder{b: b[1:]}
+	var figures decoder
+	if b[0] == figuresFormat {
+		figures = d.cutFigures()
+	}
 	m.Instance = d.string()
 	m.Seq = d.uvarint()
 	m.CanReadStore = d.uvarint()&canReadStoreFlag != 0
@@ -128,6 +156,9 @@
 			m.Loads = append(m.Loads, s)
 		}
 	}
+	if d.err == nil {
+		d.err = figures.decodeFigures(m.Loads)
+	}
 	if d.err == nil && m.Instance == "" {
 		d.err = errs.New("message has no instance name")
 	}
--- a/internal/kcload/kcload_test.go
+++ b/internal/kcload/kcload_test.go
@@ -1,7 +1,10 @@
 package kcload_test
 
 import (
+	"bytes"
 	"reflect"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -9,6 +12,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
+	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -25,6 +29,14 @@
 			if last := &m.Loads[len(m.Loads)-1]; rapid.Bool().Draw(t, "heard") {
 				last.Heard, last.HeardMsAgo = true, rapid.IntRange(0, 1<<30).Draw(t, "msAgo")
 			}
+			if last := &m.Loads[len(m.Loads)-1]; rapid.Bool().Draw(t, "figure") {
+				last.Tokens = rapid.IntRange(0, 1<<30).Draw(t, "tokens")
+				last.HasFigure, last.FigureMsAgo = true, rapid.IntRange(0, 1<<30).Draw(t, "figureMsAgo")
+				last.Figure = kcspeed.Load{
+					Running: rapid.IntRange(0, 1<<30).Draw(t, "running"), Waiting: rapid.IntRange(0, 1<<30).Draw(t, "waiting"),
+					Speed: rapid.IntRange(0, kcspeed.MaxSpeed).Draw(t, "speed"),
+				}
+			}
 		}
 		got, err := kcload.Decode(kcload.Encode(m))
 		if err != nil || !reflect.DeepEqual(got, m) {
@@ -45,6 +57,53 @@
 	}
 }
 
+// Guards against figures that crowd out loads or make a message larger than a packet,
+// and against old figures that crowd out new ones.
+func TestFiguresFitOnePacket(t *testing.T) {
+	plain := kcload.Message{Instance: "i", Seq: 1 << 50}
+	for i := range 500 {
+		plain.Loads = append(plain.Loads, kcload.UpstreamLoad{
+			Upstream: "eng-" + strconv.Itoa(1000+i), PendingWorkMs: 500, RunningRequests: 1,
+		})
+	}
+	for _, n := range []int{1, 12, 50, 90, 500} {
+		without, with := plain, plain
+		without.Loads = plain.Loads[:n]
+		with.Loads = slices.Clone(without.Loads)
+		for i := range with.Loads {
+			with.Loads[i].Tokens, with.Loads[i].HasFigure, with.Loads[i].FigureMsAgo = 13_000, true, n-i
+			with.Loads[i].Figure = kcspeed.Load{Running: 20, Waiting: 3, Speed: 250}
+		}
+		small, large := kcload.Encode(without), kcload.Encode(with)
+		a, errA := kcload.Decode(small)
+		b, errB := kcload.Decode(large)
+		if errA != nil || errB != nil || len(large) > kcload.MaxMessageBytes || len(b.Loads) < len(a.Loads)-1 {
+			t.Fatalf("%d loads, %d of them with figures in %d bytes, %v %v", len(a.Loads), len(b.Loads), len(large), errA, errB)
+		}
+		told := 0
+		for i, s := range b.Loads {
+			if s.HasFigure {
+				told++
+			} else if told > 0 {
+				t.Errorf("of %d loads, the newer figure %d is missing", n, i)
+			}
+		}
+		t.Logf("%d loads: %d bytes, %d with %d figures", n, len(small), len(large), told)
+	}
+}
+
+// Guards against a report without figures that instances of the version before do
+// not understand.
+func TestReportWithoutFiguresKeepsItsFormat(t *testing.T) {
+	want := []byte("\x04\x01i\x05\x01\x02e1\xac\x02\x03\x08")
+	got := kcload.Encode(kcload.Message{Instance: "i", Seq: 5, CanReadStore: true, Loads: []kcload.UpstreamLoad{
+		{Upstream: "e1", PendingWorkMs: 300, RunningRequests: 3, Heard: true, HeardMsAgo: 7},
+	}})
+	if !bytes.Equal(got, want) {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
+
 // Guards against sessions that are lost or altered by encoding and decoding,
 // and against a message that is larger than a packet.
 func TestSessionReportRoundTrip(t *testing.T) {
@@ -213,13 +272,20 @@
 		Instance: "i", Seq: 1,
 		Loads: []kcload.UpstreamLoad{{Upstream: "u", PendingWorkMs: 3, RunningRequests: 1}},
 	}))
+	f.Add(kcload.Encode(kcload.Message{
+		Instance: "i", Seq: 1,
+		Loads: []kcload.UpstreamLoad{{
+			Upstream: "u", Tokens: 5, HasFigure: true, FigureMsAgo: 3, Figure: kcspeed.Load{Running: 1, Waiting: 2, Speed: 250},
+		}},
+	}))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := kcload.Decode(b)
 		if err != nil {
 			return
 		}
 		for _, s := range m.Loads {
-			if s.PendingWorkMs < 0 || s.RunningRequests < 0 {
+			if s.PendingWorkMs < 0 || s.RunningRequests < 0 || s.Tokens < 0 || s.FigureMsAgo < 0 || s.Figure.Running < 0 ||
+				s.Figure.Waiting < 0 || s.Figure.Speed < 0 {
 				t.Errorf("%+v", s)
 			}
 		}
--- a/internal/kcroute/work.go
+++ b/internal/kcroute/work.go
@@ -1,5 +1,7 @@
 package kcroute
 
+import "github.com/kingcuprail/kingcuprail/internal/kcspeed"
+
 // UpstreamWork is the estimated work of a request on one upstream. Times are in
 // milliseconds on that upstream.
 type UpstreamWork struct {
@@ -8,6 +10,11 @@
 	Slots, Running int
 	// QueuedMs is the work queued ahead of a new request.
 	QueuedMs float64
+	// Unreported is true if the instances that send most requests there do not tell
+	// of them. AssumeMeanQueue takes QueuedMs and Running from those of the others: an
+	// upstream of which nothing is known would look idle to all instances, and get
+	// the requests of all of them.
+	Unreported bool
 	// RequestMs is the work of the request itself. It is smaller where a part
 	// of the prompt is already in the cache.
 	RequestMs float64
@@ -31,6 +38,13 @@
 	return c
 }
 
+// ApplyPace adds the time by which work takes longer on the upstream than usual.
+// serviceMs is the usual time of the request itself besides RequestMs.
+func (w *UpstreamWork) ApplyPace(p kcspeed.Pace, serviceMs float64) {
+	work := w.completionMs() - w.DistanceMs + serviceMs
+	w.DistanceMs += p.Ms(work) - work
+}
+
 // ChooseFastestUpstream returns the index of the upstream with the shortest
 // expected completion time, or -1 if there is none. It suits requests of very
 // different sizes: the number of requests on an upstream says little where one
@@ -44,3 +58,24 @@
 	}
 	return best
 }
+
+// unreportedShare is the part of the mean queue that is expected where nothing is
+// known: enough to keep most requests where reports tell of the others, and little
+// enough that some are sent to find out when the queues here are long.
+const unreportedShare = 0.5
+
+// AssumeMeanQueue sets the work of the upstreams that are not reported from that of
+// the others.
+func AssumeMeanQueue(list []UpstreamWork) {
+	queuedMs, running, known := 0.0, 0, 0
+	for i := range list {
+		if w := &list[i]; !w.Unreported {
+			queuedMs, running, known = queuedMs+w.QueuedMs, running+w.Running, known+1
+		}
+	}
+	for i := range list {
+		if w := &list[i]; w.Unreported && known > 0 {
+			w.QueuedMs, w.Running = max(w.QueuedMs, unreportedShare*queuedMs/float64(known)), max(w.Running, running/known)
+		}
+	}
+}
