kcstandin: Bound the events that an engine keeps

Cause: an engine keeps 1,024 generations whatever their length. With long answers that are not read, the demo process took 644 MB in TestEntryOutlivesUnreadAnswers, with the bounds on callers in place. Change: generations that have ended are dropped, the oldest first, beyond 16,384 events in sum. Running ones stay.

--- a/internal/kcstandin/engine.go
+++ b/internal/kcstandin/engine.go
@@ -292,8 +292,13 @@
 	return gen, nil
 }
 
+// maxKeptEvents bounds the events of the generations that have ended. It is a few
+// of the longest ones.
+const maxKeptEvents = 16_384
+
 // keepGeneration stores a generation and drops the oldest ones beyond
-// MaxKeptGenerations. A dropped one can no longer be resumed.
+// MaxKeptGenerations, and beyond maxKeptEvents those that have ended. A dropped one
+// can no longer be resumed.
 func (e *Engine) keepGeneration(id string, gen *generation) {
 	if _, exists := e.generations[id]; !exists {
 		e.generationIDs = append(e.generationIDs, id)
@@ -303,6 +308,25 @@
 		delete(e.generations, e.generationIDs[0])
 		e.generationIDs = e.generationIDs[1:]
 	}
+	kept := 0
+	for i, id := range slices.Backward(e.generationIDs) {
+		n, done := 0, true
+		if g := e.generations[id]; g != nil {
+			n, done = g.size()
+		}
+		if kept += n; done && kept > maxKeptEvents {
+			delete(e.generations, id)
+			e.generationIDs = slices.Delete(e.generationIDs, i, i+1)
+			kept -= n
+		}
+	}
+}
+
+// size returns the number of events so far and whether the generation has ended.
+func (g *generation) size() (events int, done bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.events), g.done
 }
 
 func (e *Engine) generate(ctx context.Context, gen *generation, id string, req *kcchat.Request) {
