kcedge, kcentry: Bound what callers make a process hold

Cause: 60 callers with bodies of legal size that stop short of their end took an edge instance to 378 MB and the demo to 974 MB; headers, answers that are not read and silent connections had no bound either. Change: both entry points read bodies and hold answers within kcledger, and accept connections within it. The memory and the descriptors come from limits.memory_mb and limits.max_fds on the platform, from limits.memoryMB and limits.maxDescriptors at the own entry point, and from the limits of the process if these are not stated. Refusals are 503, not run; answers are never refused.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
 	"github.com/kingcuprail/kingcuprail/internal/kcgate"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -93,10 +93,9 @@
 	// sweepIntervalMs is the time between sweeps that close idle connections and
 	// remove expired upstreams.
 	sweepIntervalMs = 500 * kcclock.Millisecond
-	// softMemoryLimitShare is the share of the memory limit that is set as the
-	// soft limit of the Go runtime, above which the garbage collector runs more
-	// often.
-	softMemoryLimitShare = 0.6
+	// fileDescriptors is the part of the descriptors of a machine that the platform
+	// reserves for files.
+	fileDescriptors = 200
 	// maxHeaderBytes bounds the headers of a request independently of the
 	// configuration. It is four times the usual limit of HTTP servers.
 	maxHeaderBytes = 64 << 10
@@ -204,9 +203,8 @@
 // Run serves requests until ctx ends, then shuts the instance down.
 func (e *Edge) Run(ctx context.Context) error {
 	d := e.Deployment
-	if d.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(softMemoryLimitShare * float64(d.MemoryMB<<20)))
-	}
+	limits := kcledger.NewLimits(int64(d.MemoryMB)<<20, d.MaxDescriptors, fileDescriptors)
+	limits.Apply()
 	callerListener, err := net.Listen("tcp", d.CallerAddr) //nolint:noctx // lasts as long as the process
 	if err != nil {
 		return errs.New("cannot listen for callers: %v", err)
@@ -241,7 +239,7 @@
 		}()
 	}
 	servers := []*http.Server{
-		e.serveCallers(callerListener), e.serveInternal("readiness", readinessListener, http.HandlerFunc(e.serveReadiness)),
+		e.serveCallers(callerListener, limits), e.serveInternal("readiness", readinessListener, http.HandlerFunc(e.serveReadiness)),
 	}
 	if ln := e.peers.tcpListener(); ln != nil {
 		mux := http.NewServeMux()
@@ -287,13 +285,17 @@
 	}
 }
 
-func (e *Edge) serveCallers(ln net.Listener) *http.Server {
+func (e *Edge) serveCallers(ln net.Listener, limits kcledger.Limits) *http.Server {
 	s := &http.Server{
 		Handler: e.gate, MaxHeaderBytes: maxHeaderBytes, ConnState: e.conns.stateChanged,
 		ReadHeaderTimeout: callerHeaderTimeoutMs.Duration(), IdleTimeout: callerIdleTimeoutMs.Duration(),
 		ErrorLog: slog.NewLogLogger(e.Log.Handler(), slog.LevelWarn),
 	}
-	go e.serveListener("callers", s, ln)
+	ledger := kcledger.New(kcledger.Options{
+		Limits: limits, Clock: kcclock.Boot{}, Log: e.Log, Count: e.metrics.Count, Gauge: e.metrics.RegisterGauge,
+	})
+	ledger.Attach(s)
+	go e.serveListener("callers", s, ledger.Listener(ln))
 	return s
 }
 
--- a/internal/kcentry/chat.go
+++ b/internal/kcentry/chat.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcchat"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcprice"
 	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/internal/kcrules"
@@ -25,8 +26,20 @@
 	}
 }
 
-func (s *Server) parseChat(_ context.Context, ex *Exchange) *kcapi.Error {
+// chatCopies is the number of copies of a body that are made of a chat request: the
+// messages, all fields, and the body for the engine with the buffer that it is
+// encoded in.
+const chatCopies = 4
+
+func (s *Server) parseChat(ctx context.Context, ex *Exchange) *kcapi.Error {
+	caller, size := kcledger.CallerOf(ctx), int64(len(ex.Body))
+	if caller.Hold(chatCopies*size) != nil {
+		return memoryError(ex)
+	}
 	req, err := kcchat.Parse(ex.Body)
+	// The fields of the request are copies.
+	ex.Body = nil
+	caller.Release(size)
 	if err != nil {
 		return kcapi.NewError(http.StatusBadRequest, kcapi.CodeInvalidRequest, kcapi.NotRun, "chat request: "+err.Error())
 	}
--- a/internal/kcentry/exchange.go
+++ b/internal/kcentry/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kccascade"
 	"github.com/kingcuprail/kingcuprail/internal/kcchat"
 	"github.com/kingcuprail/kingcuprail/internal/kcjob"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcrules"
 	"github.com/kingcuprail/kingcuprail/pkg/kcapi"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -136,14 +136,20 @@
 }
 
 // readBody reads the complete body within the limits on size and time.
-func (s *Server) readBody(_ context.Context, ex *Exchange) *kcapi.Error {
+func (s *Server) readBody(ctx context.Context, ex *Exchange) *kcapi.Error {
 	if ex.R.ContentLength > s.Limits.MaxBodyBytes {
 		return s.bodyTooLargeError()
 	}
 	_ = ex.W.rc.SetReadDeadline(time.Now().Add(s.Limits.BodyTimeoutMs.Duration()))
-	body, err := io.ReadAll(http.MaxBytesReader(ex.W, ex.R.Body, s.Limits.MaxBodyBytes))
+	most := s.Limits.MaxBodyBytes
+	if ex.R.ContentLength >= 0 {
+		most = ex.R.ContentLength
+	}
+	body, err := kcledger.CallerOf(ctx).ReadBody(http.MaxBytesReader(ex.W, ex.R.Body, s.Limits.MaxBodyBytes), most)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, kcledger.ErrShort):
+		return memoryError(ex)
 	case errors.As(err, &tooLarge):
 		return s.bodyTooLargeError()
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -160,6 +166,16 @@
 	return nil
 }
 
+// memoryRetryMs is the time after which callers that do not send have been ended.
+const memoryRetryMs = kcclock.Second
+
+// memoryError refuses a request that the process has no memory for.
+func memoryError(ex *Exchange) *kcapi.Error {
+	ex.W.Header().Set("Connection", "close")
+	return kcapi.NewError(http.StatusServiceUnavailable, kcapi.CodeOverloaded, kcapi.NotRun,
+		"the instance has no memory left for the request").WithRetryAfter(memoryRetryMs)
+}
+
 func (s *Server) bodyTooLargeError() *kcapi.Error {
 	return kcapi.NewError(http.StatusRequestEntityTooLarge, kcapi.CodeBodyTooLarge, kcapi.NotRun,
 		"the body is larger than "+strconv.FormatInt(s.Limits.MaxBodyBytes, 10)+" bytes")
--- a/internal/kcentry/relay.go
+++ b/internal/kcentry/relay.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcchat"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcupstream"
 	"github.com/kingcuprail/kingcuprail/pkg/kcapi"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -177,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	kcledger.CallerOf(r.ex.R.Context()).Keep(int64(len(completion)))
 	r.startResponse("application/json")
 	_, err = r.ex.W.Write(append(completion, '\n'))
 	return err
--- a/internal/kcentry/service.go
+++ b/internal/kcentry/service.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcclaim"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcrules"
@@ -222,6 +223,7 @@
 	if contentType != "" {
 		ex.W.Header().Set("Content-Type", contentType)
 	}
+	kcledger.CallerOf(ex.R.Context()).Keep(int64(len(body)))
 	ex.W.WriteHeader(status)
 	_, _ = ex.W.Write(body)
 }
--- a/internal/kcentry/settings.go
+++ b/internal/kcentry/settings.go
@@ -29,6 +29,10 @@
 	WriteTimeoutMs kcclock.Millis `json:"writeMs,omitempty"`
 	// IdleTimeoutMs is how long an idle keep-alive connection of a caller stays open.
 	IdleTimeoutMs kcclock.Millis `json:"keepMs,omitempty"`
+	// MemoryMB is the memory of the process and MaxDescriptors the number of its
+	// descriptors; 0 stands for the limits of the process.
+	MemoryMB       int64 `json:"memoryMB,omitempty"`
+	MaxDescriptors int   `json:"maxDescriptors,omitempty"`
 	// MaxAttempts bounds the dispatches of one idempotent request.
 	MaxAttempts int `json:"attempts"`
 }
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -26,11 +27,12 @@
 		return x.forwardStream(ctx, c, resp, finish)
 	}
 	var body []byte
+	whole := false
 	err := x.limitBodyTime(ctx, c, resp)
 	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+		body, whole, err = kcledger.CallerOf(x.r.Context()).ReadAnswer(resp.Body, maxBufferedBytes)
 	}
-	if err == nil && len(body) <= maxBufferedBytes {
+	if err == nil && whole {
 		err = x.checkEnd(ctx, c, resp)
 	}
 	if err != nil {
@@ -57,7 +59,7 @@
 		x.recordOutcome(c, false)
 	}
 	x.copyHeader(resp)
-	if len(body) <= maxBufferedBytes {
+	if whole {
 		resp.Finish()
 		x.writeHeader(resp.StatusCode, len(body))
 		_, err = x.w.Write(body)
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -23,6 +23,7 @@
 	reasonBadRequest        = "badRequest"
 	reasonTooLarge          = "tooLarge"
 	reasonBodyTimeout       = "bodyLate"
+	reasonMemory            = "memory"
 	reasonNoUpstream        = "noUpstream"
 	reasonUpstreamsFull     = "upstreamsFull"
 	reasonUpstreamsPaused   = "upstreamsPaused"
@@ -204,9 +205,16 @@
 	}
 	remaining := x.deadline - x.g.Clock.Now()
 	x.setTimeout(x.rc.SetReadDeadline, remaining)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	most := limit
+	if x.r.ContentLength > 0 {
+		most = x.r.ContentLength
+	}
+	body, err := kcledger.CallerOf(x.r.Context()).ReadBody(http.MaxBytesReader(x.w, x.r.Body, limit), most)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, kcledger.ErrShort):
+		x.w.Header().Set("Connection", "close")
+		return x.reject(http.StatusServiceUnavailable, reasonMemory, otherInstanceRetryMs)
 	case errors.As(err, &tooLarge):
 		return x.reject(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
 	case err != nil && x.g.Clock.Now() >= x.deadline:
--- a/internal/kcinstance/instance.go
+++ b/internal/kcinstance/instance.go
@@ -15,6 +15,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcconfig"
 	"github.com/kingcuprail/kingcuprail/internal/kcentry"
 	"github.com/kingcuprail/kingcuprail/internal/kcjob"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcpeer"
@@ -56,8 +57,10 @@
 
 // Instance is a running entry instance.
 type Instance struct {
-	opts           Options
-	entry          *kcentry.Server
+	opts  Options
+	entry *kcentry.Server
+	// memory bounds what callers make the process hold.
+	memory         *kcledger.Ledger
 	directory      *kcmember.Directory
 	ledger         *kcbill.Ledger
 	billHolder     *kcbill.Holder
@@ -81,6 +84,9 @@
 	PeerAddr   string
 }
 
+// fileDescriptors are reserved for files and for the admin address.
+const fileDescriptors = 64
+
 // New builds an instance. It does not listen yet.
 func New(opts Options) (*Instance, error) {
 	set := opts.Settings
@@ -113,6 +119,11 @@
 			i.entry.ObserveLoad(t.ID, header)
 		},
 	})
+	limits := kcledger.NewLimits(set.Limits.MemoryMB<<20, set.Limits.MaxDescriptors, fileDescriptors)
+	limits.Apply()
+	i.memory = kcledger.New(kcledger.Options{
+		Limits: limits, Clock: kcclock.Boot{}, Log: opts.Log, Count: metrics.Count, Gauge: metrics.RegisterGauge,
+	})
 	i.directory = kcmember.NewDirectory(kcmember.DirectoryOptions{
 		Lister: opts.Lister, Clock: opts.Clock, PollMs: set.Timing.ListPollIntervalMs,
 	})
@@ -213,7 +224,7 @@
 	set := i.opts.Settings
 	caller := listener{
 		name: "caller", addr: set.Instance.Listen, handler: i.entry.Handler(), tlsFiles: set.TLS.Caller,
-		limits: set.Limits, log: i.opts.Log,
+		limits: set.Limits, log: i.opts.Log, ledger: i.memory,
 	}
 	var err error
 	if i.callerServer, i.CallerAddr, err = caller.listenAndServe(ctx, serveErrors); err != nil {
--- a/internal/kcinstance/listen.go
+++ b/internal/kcinstance/listen.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcentry"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kctls"
 )
 
@@ -32,6 +33,8 @@
 	// bounds the body instead, so that it can answer with a JSON error.
 	boundWholeRequest bool
 	log               *slog.Logger
+	// ledger bounds what the callers make the process hold; nil does not.
+	ledger *kcledger.Ledger
 	// countBytes wraps the listener to count its traffic; nil does not count.
 	countBytes func(net.Listener) net.Listener
 }
@@ -65,6 +68,10 @@
 	if l.countBytes != nil {
 		ln = l.countBytes(ln)
 	}
+	if l.ledger != nil {
+		l.ledger.Attach(srv)
+		ln = l.ledger.Listener(ln)
+	}
 	if config != nil {
 		ln = tls.NewListener(ln, config)
 	}
--- a/internal/kcsettings/check.go
+++ b/internal/kcsettings/check.go
@@ -7,6 +7,8 @@
 	"reflect"
 	"strings"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcentry"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcrules"
 	"github.com/kingcuprail/kingcuprail/internal/kcsession"
 )
@@ -24,6 +26,7 @@
 	c.checkBaseURL("/platform/rater", s.Platform.Rater, false)
 	c.checkBaseURL("/platform/weights", s.Platform.Weights, false)
 	c.checkNumbers("/limits", reflect.ValueOf(s.Limits))
+	c.checkMemory(s.Limits)
 	c.checkNumbers("/timing", reflect.ValueOf(s.Timing))
 	if s.Timing.Shards > maxShards {
 		c.addProblem("/timing/shards", "%d is above %d", s.Timing.Shards, maxShards)
@@ -138,6 +141,20 @@
 	}
 }
 
+// checkMemory checks that the memory of the process holds a body of the largest size.
+func (c *checker) checkMemory(l kcentry.Limits) {
+	if least := kcledger.LeastMemory(l.MaxBodyBytes); l.MemoryMB > 0 && l.MemoryMB<<20 < least {
+		c.addProblem("/limits/memoryMB", "%d does not hold a body of /limits/maxBodyBytes; set it to at least %d",
+			l.MemoryMB, (least+1<<20-1)>>20)
+	}
+	if l.MaxDescriptors > 0 && l.MaxDescriptors < minDescriptors {
+		c.addProblem("/limits/maxDescriptors", "%d is below %d", l.MaxDescriptors, minDescriptors)
+	}
+}
+
+// minDescriptors is enough for the listeners, the platform and a few callers.
+const minDescriptors = 256
+
 func (c *checker) checkSessionKeys(keys []kcsession.Key) {
 	if len(keys) == 0 {
 		c.addProblem("/sessionKeys", requiredMessage+`: at least one {"id", "secret"}`)
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -23,6 +23,9 @@
 	// MemoryMB is the memory limit at which the platform kills the process, 0 if
 	// there is none.
 	MemoryMB int
+	// MaxDescriptors is the number of descriptors that the process may open, those
+	// for files included; 0 stands for the limit of the process.
+	MaxDescriptors int
 	// LinkMbps is the bandwidth of the machine in Mbit/s, 0 if unknown.
 	LinkMbps int
 	Bounds   Bounds
