kcroom: Compute the room of a service, and keep upstreams within their memory

Where contracts lists pressure, load reports carry the tokens of running requests, and an upstream that would exceed engine.kv_capacity is not chosen while another has room. Requests sent in spite of it are counted in upstreams.overMemory. Gauges room.SERVICE.FIGURE tell the room.

--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcfeed"
+	"github.com/kingcuprail/kingcuprail/internal/kcroom"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 	kcplatform "github.com/kingcuprail/kingcuprail/platform"
@@ -39,10 +40,30 @@
 		return
 	}
 	if e.gate.SetTable(t) {
+		e.registerRoom(t)
 		e.Log.Info("configuration in force", "version", t.Version, "offset", r.Offset, "hosts", len(t.Routes))
 	}
 }
 
+// registerRoom registers the gauges of the room of each service of a configuration.
+func (e *Edge) registerRoom(t *kctable.Table) {
+	if !e.Deployment.Overload {
+		return
+	}
+	for service := range t.HealthPaths {
+		gauge := func(name string, read func(r kcroom.Room) int64) {
+			e.metrics.RegisterGauge("room."+service+"."+name, func() int64 { return read(e.gate.Upstreams.Room(service, nil)) })
+		}
+		gauge("slots", func(r kcroom.Room) int64 { return int64(r.Slots) })
+		gauge("busy", func(r kcroom.Room) int64 { return int64(r.Busy) })
+		gauge("free", func(r kcroom.Room) int64 { return int64(r.Free) })
+		gauge("queueable", func(r kcroom.Room) int64 { return int64(r.Queueable) })
+		gauge("waitMs", func(r kcroom.Room) int64 { return int64(r.WaitMs) })
+		gauge("prefillMs", func(r kcroom.Room) int64 { return int64(r.PrefillMs) })
+		gauge("ageMs", func(r kcroom.Room) int64 { return int64(r.AgeMs) })
+	}
+}
+
 // applyUpstreamRecords applies the entries of upstreams. An upstream whose
 // entry cannot be decoded is removed.
 func (e *Edge) applyUpstreamRecords(records []kcfeed.Record, snapshot bool, storeReturnedAt kcclock.Millis) {
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kclatency"
 	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -148,9 +149,13 @@
 	c, ok := x.g.Upstreams.pick(pickCriteria{
 		service: x.service, allowsVersion: x.decision.allows,
 		tried: tried, prompt: x.promptFor(model), holdMs: x.expectedHoldMs(),
+		tokens:        x.meta.PromptTokens + x.meta.OutputTokens,
 		upstreamShare: func(version string) float64 { return x.g.Rollouts.upstreamShare(x.service, version) },
 	})
 	if ok {
+		if c.overMemory {
+			x.g.Metrics.Count("upstreams.overMemory")
+		}
 		x.g.Rollouts.pinSession(x.session(), c.Version, !x.sessionPinned)
 		x.sessionPinned = true
 	}
@@ -161,7 +166,7 @@
 func (x *exchange) promptFor(model string) prompt {
 	p := prompt{model: model, parts: x.meta.PromptParts, tokens: x.meta.PromptTokens}
 	if p.tokens > 0 {
-		p.msPerToken = x.g.firstEvents.prefillTime(model)
+		p.msPerToken = x.g.firstEvents.PrefillTime(model)
 	}
 	// The last part is specific to the request or its session, so the affinity
 	// key is the part before it.
@@ -177,7 +182,7 @@
 	if x.meta.PromptTokens > 0 {
 		return streamHoldMs
 	}
-	return x.g.latencies.medianOr("answer/"+x.route.Name, defaultUnaryHoldMs)
+	return x.g.latencies.MedianOr("answer/"+x.route.Name, defaultUnaryHoldMs)
 }
 
 // tryUpstream sends the request to one upstream and forwards its response.
@@ -206,10 +211,11 @@
 	}
 	if x.meta.PromptTokens > 0 && !head.NotRun && resp.StatusCode == http.StatusOK {
 		elapsedMs := x.g.Clock.Now() - now
-		if n := x.meta.PromptTokens; n >= minPrefillTokens {
-			x.classifyLatency(c, "read/"+model, max(float64(elapsedMs-firstEventOverheadMs), 0)/float64(n), engineSlowFactor)
+		if n := x.meta.PromptTokens; n >= kclatency.MinPrefillTokens {
+			perToken := max(float64(elapsedMs-kclatency.FirstEventOverheadMs), 0) / float64(n)
+			x.classifyLatency(c, "read/"+model, perToken, kclatency.EngineSlowFactor)
 		}
-		x.g.firstEvents.observe(model, x.meta.PromptTokens, elapsedMs)
+		x.g.firstEvents.Observe(model, x.meta.PromptTokens, elapsedMs)
 	}
 	if head.HasConfidence {
 		x.attempts[last].confidence = head.Confidence
@@ -340,7 +346,7 @@
 	}
 	wait := kcclock.Millis(share * float64(x.route.LatencyObjectiveMs))
 	if x.meta.PromptTokens > 0 {
-		wait = max(wait, kcclock.Millis(silenceFirstEventFactor*float64(x.g.firstEvents.expect(model, x.meta.PromptTokens))))
+		wait = max(wait, kcclock.Millis(silenceFirstEventFactor*float64(x.g.firstEvents.Expect(model, x.meta.PromptTokens))))
 	}
 	return min(wait, x.remaining()/2)
 }
@@ -427,12 +433,12 @@
 // classifyLatency compares a latency of the current attempt with the usual ones.
 // Versions under rollout do not contribute to the usual latencies.
 func (x *exchange) classifyLatency(c *pickedUpstream, key string, v, factor float64) {
-	slow, known := x.g.latencies.isSlow(key, v, factor)
-	verySlow, _ := x.g.latencies.isSlow(key, v/verySlowFactor, factor)
+	slow, known := x.g.latencies.IsSlow(key, v, factor)
+	verySlow, _ := x.g.latencies.IsSlow(key, v/kclatency.VerySlowFactor, factor)
 	x.attemptSlow, x.latencyKnown = x.attemptSlow || slow, x.latencyKnown || known
 	x.attemptVerySlow = x.attemptVerySlow || verySlow
 	if !x.g.Rollouts.isRolloutTarget(x.service, c.Version) {
-		x.g.latencies.observe(key, v)
+		x.g.latencies.Observe(key, v)
 	}
 }
 
--- a/internal/kcgate/cascade.go
+++ b/internal/kcgate/cascade.go
@@ -75,7 +75,7 @@
 	}
 	e := escalationPolicy{
 		remainingMs: x.receivedAt + x.route.LatencyObjectiveMs - x.g.Clock.Now(),
-		expectedMs:  x.g.firstEvents.expect(x.route.Models[n-1], x.meta.PromptTokens),
+		expectedMs:  x.g.firstEvents.Expect(x.route.Models[n-1], x.meta.PromptTokens),
 	}
 	return float64(head.Confidence) < e.threshold() && x.g.takeRetry(x.service)
 }
--- a/internal/kcgate/cascade_test.go
+++ b/internal/kcgate/cascade_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/kingcuprail/kingcuprail/internal/kclatency"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -28,21 +29,21 @@
 
 // Guards against a usual latency that follows the few requests with long waits.
 func TestLatencyStatsIgnoreTail(t *testing.T) {
-	u := newLatencyStats()
+	u := kclatency.NewStats()
 	for i := range 400 {
 		v := 30.0
 		if i%10 == 0 {
 			v = 900
 		}
-		u.observe("k", v)
+		u.Observe("k", v)
 	}
-	if slow, known := u.isSlow("k", 32, engineSlowFactor); slow || !known {
+	if slow, known := u.IsSlow("k", 32, kclatency.EngineSlowFactor); slow || !known {
 		t.Errorf("32 ms: slow %v, known %v; the usual latency is 30 ms", slow, known)
 	}
-	if slow, _ := u.isSlow("k", 70, engineSlowFactor); !slow {
+	if slow, _ := u.IsSlow("k", 70, kclatency.EngineSlowFactor); !slow {
 		t.Error("70 ms is not slow; the usual latency is 30 ms")
 	}
-	if _, known := u.isSlow("other", 70, engineSlowFactor); known {
+	if _, known := u.IsSlow("other", 70, kclatency.EngineSlowFactor); known {
 		t.Error("got a threshold without samples")
 	}
 }
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kclatency"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
@@ -144,8 +145,8 @@
 	Rollouts    *Rollouts
 	startup     startupState
 	drain       drainState
-	firstEvents *firstEventEstimator
-	latencies   *latencyStats
+	firstEvents *kclatency.FirstEvents
+	latencies   *kclatency.Stats
 	// Quarantine holds the prompt parts under which upstreams have crashed.
 	Quarantine *kcquarantine.Tracker
 
@@ -156,14 +157,14 @@
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
-	upstreams.log, upstreams.instance = opts.Log, opts.Deployment.Instance
+	upstreams.log, upstreams.instance, upstreams.sharesFigures = opts.Log, opts.Deployment.Instance, opts.Deployment.Overload
 	return &Gateway{
 		Options:     opts,
 		Upstreams:   upstreams,
 		startup:     startupState{startedAt: opts.Clock.Now(), table: make(chan struct{}), upstreams: upstreams.loaded},
 		Rollouts:    NewRollouts(opts),
-		firstEvents: newFirstEventEstimator(),
-		latencies:   newLatencyStats(),
+		firstEvents: kclatency.NewFirstEvents(),
+		latencies:   kclatency.NewStats(),
 		Quarantine: kcquarantine.New(kcquarantine.Options{
 			Clock: opts.Clock, Instance: opts.Deployment.Instance, OnBlocked: opts.OnPartBlocked, OnCleared: opts.OnPartCleared,
 			OnTrial: opts.OnTrial,
@@ -184,6 +185,9 @@
 			if old == nil {
 				close(g.startup.table)
 			}
+			if g.Deployment.Overload {
+				g.Upstreams.setCapacity(t.EngineTokens)
+			}
 			return true
 		}
 	}
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcroom"
 	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -25,6 +26,11 @@
 	prompt prompt
 	// holdMs is roughly how long the request occupies a slot.
 	holdMs float64
+	// tokens is the length of the prompt and the answer. It must fit into capacity,
+	// the memory of an upstream in tokens; 0 if that does not matter.
+	tokens, capacity int
+	// meanTokens is the usual value of tokens.
+	meanTokens float64
 }
 
 // serviceMs returns how long a request without a prompt occupies an idle upstream
@@ -39,7 +45,7 @@
 // accepts reports whether an upstream may get the request.
 func (l *Upstreams) accepts(w *pickCriteria, u *upstream, now kcclock.Millis) bool {
 	return !u.leaving() && !u.paused(now) && w.allowsVersion(u.Version) && !w.tried.Has(u.ID) && u.breaker.Ready(now) &&
-		l.mayUse(u, now)
+		l.mayUse(u, now) && (w.capacity == 0 || kcroom.Fits(l.usedMemory(u, w.meanTokens, now), w.tokens, w.capacity))
 }
 
 // pickedUpstream is an upstream that is in use for a request. It must be
@@ -53,6 +59,11 @@
 	candidates int
 	// pendingWorkMs is the work that is counted until the response begins.
 	pendingWorkMs float64
+	// tokens is the memory that is counted until the upstream is released. overMemory
+	// is true if no upstream had so much free.
+	tokens     int
+	overMemory bool
+	pickedAt   kcclock.Millis
 }
 
 // pick chooses an upstream and counts a request for it.
@@ -61,10 +72,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expirePeerLoads(now)
+	service := l.state(w.service)
+	w.capacity, w.meanTokens = l.capacity[w.service], service.tokens.Or(float64(w.tokens))
 	candidates := l.candidates(&w, now)
 	home := l.prefixHome(&w, candidates, now)
 	list := l.sample(&w, candidates, home, now)
-	service := l.state(w.service)
+	overMemory := len(list) == 0 && w.capacity > 0
+	if overMemory {
+		w.capacity = 0
+		candidates = l.candidates(&w, now)
+		home = l.prefixHome(&w, candidates, now)
+		list = l.sample(&w, candidates, home, now)
+	}
 	workers := make([]kcroute.UpstreamWork, len(list))
 	for i, u := range list {
 		workers[i] = kcroute.UpstreamWork{
@@ -94,10 +113,12 @@
 	u.inFlight++
 	u.figures.Sent(now)
 	u.pendingWorkMs += workers[i].RequestMs
-	service.picks.Add(now, workers[i].RequestMs)
+	u.memory.Own += w.tokens
+	service.recordPick(&w, workers[i].RequestMs, now)
 	l.prefixes.add(w.prompt, u.ID, now)
 	return &pickedUpstream{
 		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), pendingWorkMs: workers[i].RequestMs,
+		tokens: w.tokens, overMemory: overMemory, pickedAt: now,
 	}, true
 }
 
@@ -110,7 +131,7 @@
 			queuedMs, n = queuedMs+workers[i].QueuedMs, n+1
 		}
 	}
-	staleMs := s.picks.Staleness(now, l.farReports, queuedMs/float64(max(n, 1)))
+	staleMs := s.picks.Staleness(l.peers.FarAge(now), queuedMs/float64(max(n, 1)))
 	for i, u := range list {
 		if l.distance(u) != inZone {
 			workers[i].DistanceMs += staleMs
--- a/internal/kcgate/placement.go
+++ b/internal/kcgate/placement.go
@@ -23,12 +23,6 @@
 	// some round trips and the paid traffic.
 	crossZoneCostMs   = 8
 	crossRegionCostMs = 60
-	// peerLoadTTLMs is how long the load report of another instance counts: twice
-	// the longest time between two reports.
-	peerLoadTTLMs = 1600 * kcclock.Millisecond
-	// peerLoadCheckMs is the time between checks for expired reports, a small part
-	// of the time for which they count.
-	peerLoadCheckMs = 50 * kcclock.Millisecond
 	// prefixTTLMs is how long an engine is expected to keep an unused part of a
 	// prompt in its prefix cache.
 	prefixTTLMs = 10 * kcclock.Second
@@ -121,37 +115,18 @@
 	return ok && now-at < prefixTTLMs
 }
 
-// peerLoad is the last load report of another instance.
-type peerLoad struct {
-	seq    uint64
-	at     kcclock.Millis
-	far    bool
-	shares []kcload.UpstreamLoad
-}
-
 // SetPeerLoad records the load report of another instance. Older reports are
 // ignored.
 func (l *Upstreams) SetPeerLoad(m kcload.Message) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.peerLoads[m.Instance]
-	switch {
-	case p == nil:
-		p = &peerLoad{far: l.peerZones[m.Instance] != l.zone}
-		l.peerLoads[m.Instance] = p
-	case m.Seq <= p.seq:
+	old, newer := l.peers.Set(now, m, l.peerZones[m.Instance] != l.zone)
+	if !newer {
 		return
-	case p.far:
-		l.farReports.Remove(p.at)
 	}
-	if p.far {
-		l.farReports.Add(now)
-	}
-	l.addPeerLoad(p, -1)
-	l.peerReportTimes += now - p.at
-	p.seq, p.at, p.shares = m.Seq, now, m.Loads
-	l.addPeerLoad(p, 1)
+	l.addPeerLoad(old, -1)
+	l.addPeerLoad(m.Loads, 1)
 	l.addPeerActivity(m.Loads, now)
 	l.addPeerFigures(m.Loads, now)
 }
@@ -162,6 +137,7 @@
 	for _, s := range loads {
 		if u := l.byID[s.Upstream]; u != nil && s.HasFigure {
 			u.figures.Merge(now-kcclock.Millis(s.FigureMsAgo), s.Figure, u.inFlight)
+			u.queue.Record(s.Figure.Waiting)
 			l.recordSpeedNamed(u, s.Figure)
 		}
 	}
@@ -174,11 +150,12 @@
 	}
 }
 
-func (l *Upstreams) addPeerLoad(p *peerLoad, sign int) {
-	for _, s := range p.shares {
+func (l *Upstreams) addPeerLoad(loads []kcload.UpstreamLoad, sign int) {
+	for _, s := range loads {
 		if u := l.byID[s.Upstream]; u != nil {
 			u.peersWorkMs = max(u.peersWorkMs+float64(sign*s.PendingWorkMs), 0)
 			u.peersRunning = max(u.peersRunning+sign*s.RunningRequests, 0)
+			u.memory.AddPeer(sign, s.RunningRequests, s.Tokens)
 		}
 	}
 }
@@ -204,20 +181,7 @@
 
 // expirePeerLoads removes the reports of instances that stopped sending them.
 func (l *Upstreams) expirePeerLoads(now kcclock.Millis) {
-	if now-l.peersCheckedAt < peerLoadCheckMs {
-		return
-	}
-	l.peersCheckedAt = now
-	for name, p := range l.peerLoads {
-		if now-p.at > peerLoadTTLMs {
-			l.addPeerLoad(p, -1)
-			l.peerReportTimes -= p.at
-			if p.far {
-				l.farReports.Remove(p.at)
-			}
-			delete(l.peerLoads, name)
-		}
-	}
+	l.peers.Expire(now, func(loads []kcload.UpstreamLoad) { l.addPeerLoad(loads, -1) })
 }
 
 // LoadShares returns the load of this instance on each upstream, for its peers.
@@ -235,6 +199,9 @@
 			if heardAt := u.heardAt.Load(); heardAt != 0 {
 				s.Heard, s.HeardMsAgo = true, int(int64(now)-heardAt)
 			}
+			if l.capacity != nil {
+				s.Tokens = u.memory.Own
+			}
 			if heard {
 				figure.Slots = 0
 				s.HasFigure, s.Figure, s.FigureMsAgo = true, figure, int(age)
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kclatency"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -52,7 +53,7 @@
 	} else {
 		x.recordAnswerStart()
 		took := x.g.Clock.Now() - x.attempts[len(x.attempts)-1].startedAt
-		x.classifyLatency(c, "answer/"+x.route.Name, float64(took), unarySlowFactor)
+		x.classifyLatency(c, "answer/"+x.route.Name, float64(took), kclatency.UnarySlowFactor)
 		x.g.Upstreams.release(c, outcomeGood)
 		x.recordOutcome(c, false)
 	}
@@ -218,7 +219,7 @@
 			}
 			resp.Finish()
 			x.startStream(resp)
-			if x.events >= minPauseEvents && x.events < pauseSampleEvents {
+			if x.events >= kclatency.MinPauseEvents && x.events < kclatency.PauseSampleEvents {
 				x.classifyPause(c, a, firstEventAt)
 			}
 			return nil
@@ -282,7 +283,7 @@
 		*firstEventAt = x.g.Clock.Now()
 		a.progress = bodyStarted
 		x.recordAnswerStart()
-	case pauseSampleEvents:
+	case kclatency.PauseSampleEvents:
 		x.classifyPause(c, a, *firstEventAt)
 		x.recordSlow(c)
 	}
@@ -292,7 +293,7 @@
 // one.
 func (x *exchange) classifyPause(c *pickedUpstream, a *attempt, firstEventAt kcclock.Millis) {
 	pause := float64(x.g.Clock.Now()-firstEventAt) / float64(x.events)
-	x.classifyLatency(c, "pause/"+a.model, pause, engineSlowFactor)
+	x.classifyLatency(c, "pause/"+a.model, pause, kclatency.EngineSlowFactor)
 }
 
 // writeEvent sends an event to the caller.
--- a/internal/kcgate/sample.go
+++ b/internal/kcgate/sample.go
@@ -23,6 +23,7 @@
 	picks kcspeed.PickRate
 	// namesSpeed is true once an upstream of the service has named its speed.
 	namesSpeed bool
+	roomState
 }
 
 // state returns the state of a service.
@@ -38,12 +39,7 @@
 // unseenPicks estimates how many picks for a service the other instances have
 // made since their last reports, if each makes as many as this one.
 func (l *Upstreams) unseenPicks(service string, now kcclock.Millis) float64 {
-	return l.state(service).picks.PerMs(now) * float64(l.peerReportAgeSum(now))
-}
-
-// peerReportAgeSum returns the sum of the ages of the reports of all peers.
-func (l *Upstreams) peerReportAgeSum(now kcclock.Millis) kcclock.Millis {
-	return kcclock.Millis(len(l.peerLoads))*now - l.peerReportTimes
+	return l.state(service).picks.PerMs(now) * float64(l.peers.AgeSum(now))
 }
 
 // sample returns the upstreams that are compared for a request, in random order,
--- a/internal/kcgate/upstream_limit.go
+++ b/internal/kcgate/upstream_limit.go
@@ -47,8 +47,8 @@
 	}
 	lim.share, lim.shareAt = 0, now
 	if u.region == l.region {
-		live := make([]kclimit.Sender, 0, len(l.peerLoads))
-		for name := range l.peerLoads {
+		live := make([]kclimit.Sender, 0, l.peers.Len())
+		for name := range l.peers.Names() {
 			live = append(live, kclimit.Sender{Instance: name, Near: l.peerZones[name] == u.Zone})
 		}
 		lim.share = kclimit.SenderShare(u.ID, lim.PerSecond, kclimit.Sender{Instance: l.instance, Near: l.zone == u.Zone}, live)
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -10,7 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcload"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
+	"github.com/kingcuprail/kingcuprail/internal/kcroom"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -54,8 +56,11 @@
 	peersWorkMs   float64
 	peersRunning  int
 	breaker       *kcretry.Breaker
-	// figures is what the upstream says about its load and speed.
+	// figures is what the upstream says about its load and speed, queue how many
+	// requests it queues, and memory what its requests take.
 	figures kcspeed.Upstream
+	queue   kcroom.Queue
+	memory  kcroom.Memory
 	// lastActivityAt is when the upstream last sent anything, or when the oldest
 	// running request was sent if that is later.
 	// It includes what peers have heard.
@@ -106,8 +111,8 @@
 	// versionsOf holds the results of versions since the last change of byID.
 	versionsOf map[string]versionCounts
 	// loaded is closed once the list is read.
-	loaded    chan struct{}
-	peerLoads map[string]*peerLoad
+	loaded chan struct{}
+	peers  kcload.Peers
 	// limited holds the upstreams that have named a limit. Some may have left.
 	limited []*upstream
 	// leavingProcesses holds the processes that have said that they leave, with the
@@ -118,14 +123,11 @@
 	// sharesFigures is true once an upstream has named its speed: peers are then told
 	// what upstreams say of their load and speed.
 	sharesFigures bool
-	// peersCheckedAt is the time of the last check for reports that have expired.
-	peersCheckedAt kcclock.Millis
-	// peerReportTimes is the sum of the times of the reports in peerLoads.
-	peerReportTimes kcclock.Millis
-	// farReports holds the times of those from other availability zones.
-	farReports kcspeed.ReportTimes
-	services   map[string]*serviceState
-	prefixes   prefixCache
+	services      map[string]*serviceState
+	// capacity is the memory of an upstream in tokens by service. It is nil if
+	// memory does not matter.
+	capacity map[string]int
+	prefixes prefixCache
 	// order is the buffer in which sample shuffles upstreams.
 	order []*upstream
 	// intN is a source of randomness that tests replace.
@@ -137,7 +139,7 @@
 	return &Upstreams{
 		clock: clock, log: slog.New(slog.DiscardHandler), zone: zone, region: regions[zone], regions: regions,
 		byID:   make(map[string]*upstream),
-		loaded: make(chan struct{}), intN: rand.IntN, peerLoads: make(map[string]*peerLoad),
+		loaded: make(chan struct{}), intN: rand.IntN,
 		services: make(map[string]*serviceState), versionsOf: make(map[string]versionCounts),
 		leavingProcesses: make(map[processID]kcclock.Millis),
 	}
@@ -387,13 +389,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.u.inFlight--
+	c.u.memory.Own -= c.tokens
 	c.clearPendingWork()
 	switch o {
 	case outcomeGood:
 		c.u.breaker.Record(now, true)
+		if c.loadAtPick < c.u.Slots {
+			l.state(c.u.Service).hold.Add(float64(now - c.pickedAt))
+		}
 	case outcomeFailed:
 		c.u.breaker.Record(now, false)
 	case outcomeFull:
+		c.u.queue.RecordRejection(now, &c.u.figures)
 		c.u.figures.RecordFull(now, c.u.Slots, c.u.inFlight)
 	case outcomeNeutral:
 	}
@@ -405,6 +412,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.u.figures.Record(now, load, c.u.inFlight)
+	c.u.queue.Record(load.Waiting)
 	l.recordSpeedNamed(c.u, load)
 	c.u.markActive(now)
 }
--- a/internal/kcgate/pace.go
+++ b/internal/kclatency/latency.go
@@ -1,4 +1,6 @@
-package kcgate
+// Package kclatency keeps the usual latencies of requests: the time to the first event
+// by model, and the quantiles by which slow responses are told.
+package kclatency
 
 import (
 	"math"
@@ -49,9 +51,9 @@
 
 const medianQuantile = 0.5
 
-// firstEventEstimator estimates the time to the first event per model, including
+// FirstEvents estimates the time to the first event per model, including
 // queueing.
-type firstEventEstimator struct {
+type FirstEvents struct {
 	mu sync.Mutex
 	// msPerToken holds the time to the first event per prompt token in
 	// milliseconds.
@@ -61,13 +63,14 @@
 	prefillMsPerToken map[string]*quantile
 }
 
-func newFirstEventEstimator() *firstEventEstimator {
-	return &firstEventEstimator{msPerToken: make(map[string]*quantile), prefillMsPerToken: make(map[string]*quantile)}
+// NewFirstEvents returns an estimator that has seen nothing.
+func NewFirstEvents() *FirstEvents {
+	return &FirstEvents{msPerToken: make(map[string]*quantile), prefillMsPerToken: make(map[string]*quantile)}
 }
 
-// prefillTime returns the time per token in milliseconds in which an idle engine
+// PrefillTime returns the time per token in milliseconds in which an idle engine
 // prefills a prompt.
-func (p *firstEventEstimator) prefillTime(model string) float64 {
+func (p *FirstEvents) PrefillTime(model string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if q := p.prefillMsPerToken[model]; q != nil {
@@ -76,8 +79,8 @@
 	return initialPrefillMsPerToken
 }
 
-// expect returns the usual time to the first event.
-func (p *firstEventEstimator) expect(model string, promptTokens int) kcclock.Millis {
+// Expect returns the usual time to the first event.
+func (p *FirstEvents) Expect(model string, promptTokens int) kcclock.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pace := initialMsPerToken
@@ -87,8 +90,8 @@
 	return kcclock.Millis(pace * float64(promptTokens+basePromptTokens))
 }
 
-// observe records the time to the first event of a response.
-func (p *firstEventEstimator) observe(model string, promptTokens int, took kcclock.Millis) {
+// Observe records the time to the first event of a response.
+func (p *FirstEvents) Observe(model string, promptTokens int, took kcclock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.msPerToken[model]
@@ -97,7 +100,7 @@
 		p.msPerToken[model] = m
 	}
 	m.observe(medianQuantile, max(float64(took), 1)/float64(promptTokens+basePromptTokens))
-	if promptTokens < minPrefillTokens {
+	if promptTokens < MinPrefillTokens {
 		return
 	}
 	q := p.prefillMsPerToken[model]
@@ -105,40 +108,41 @@
 		q = &quantile{value: initialPrefillMsPerToken, count: 1}
 		p.prefillMsPerToken[model] = q
 	}
-	q.observe(prefillQuantile, max(float64(took-firstEventOverheadMs)/float64(promptTokens), minObservation))
+	q.observe(prefillQuantile, max(float64(took-FirstEventOverheadMs)/float64(promptTokens), minObservation))
 }
 
 const (
 	// slowQuantile is the share of good responses that are faster than the
 	// threshold for slow ones.
 	slowQuantile = 0.8
-	// engineSlowFactor and unarySlowFactor are the least ratios of the threshold
-	// to the median. A slow version of an engine slows down all its requests,
-	// some of them two or three times. A slow version of a unary service slows
+	// EngineSlowFactor is the least ratio of the threshold to the median for engines. A
+	// slow version of an engine slows down all its requests, some of them two or three
+	// times.
+	EngineSlowFactor = 1.7
+	// UnarySlowFactor is the same ratio for unary services. A slow version of one slows
 	// down only some requests, but much more.
-	engineSlowFactor = 1.7
-	unarySlowFactor  = 3
-	// verySlowFactor is the ratio of a very slow latency to the threshold of slow
+	UnarySlowFactor = 3
+	// VerySlowFactor is the ratio of a very slow latency to the threshold of slow
 	// ones.
-	verySlowFactor = 2
+	VerySlowFactor = 2
 	// minLatencySamples is the number of samples from which a threshold is known.
 	minLatencySamples = 12
-	// minPauseEvents is the number of events from which the mean pause between
+	// MinPauseEvents is the number of events from which the mean pause between
 	// events is computed.
-	minPauseEvents = 3
-	// pauseSampleEvents is the number of events after which the mean pause of a
+	MinPauseEvents = 3
+	// PauseSampleEvents is the number of events after which the mean pause of a
 	// stream is taken. The streams of a slow version last for longer than an order.
-	pauseSampleEvents = 8
-	// minPrefillTokens is the prompt length from which the time to the first
+	PauseSampleEvents = 8
+	// MinPrefillTokens is the prompt length from which the time to the first
 	// event shows how fast an engine prefills.
-	minPrefillTokens = 2500
-	// firstEventOverheadMs is roughly the time to the first event of a short
+	MinPrefillTokens = 2500
+	// FirstEventOverheadMs is roughly the time to the first event of a short
 	// prompt.
-	firstEventOverheadMs = 60
+	FirstEventOverheadMs = 60
 )
 
-// latencyStats keeps the usual latency per key.
-type latencyStats struct {
+// Stats keeps the usual latency per key.
+type Stats struct {
 	mu    sync.Mutex
 	byKey map[string]*latencyQuantiles
 }
@@ -146,10 +150,11 @@
 // latencyQuantiles holds the quantiles of one key.
 type latencyQuantiles struct{ median, high quantile }
 
-func newLatencyStats() *latencyStats { return &latencyStats{byKey: make(map[string]*latencyQuantiles)} }
+// NewStats returns statistics without values.
+func NewStats() *Stats { return &Stats{byKey: make(map[string]*latencyQuantiles)} }
 
-// observe records a latency of a trusted version.
-func (u *latencyStats) observe(key string, v float64) {
+// Observe records a latency of a trusted version.
+func (u *Stats) Observe(key string, v float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.byKey[key]
@@ -165,8 +170,8 @@
 // minObservation keeps the values positive.
 const minObservation = 1e-6
 
-// medianOr returns the median of key, or start if there is none.
-func (u *latencyStats) medianOr(key string, start float64) float64 {
+// MedianOr returns the median of key, or start if there is none.
+func (u *Stats) MedianOr(key string, start float64) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if s := u.byKey[key]; s != nil {
@@ -175,9 +180,9 @@
 	return start
 }
 
-// isSlow reports whether v is far above the usual values of key. known is false
+// IsSlow reports whether v is far above the usual values of key. known is false
 // if there are too few values to tell.
-func (u *latencyStats) isSlow(key string, v, factor float64) (slow, known bool) {
+func (u *Stats) IsSlow(key string, v, factor float64) (slow, known bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.byKey[key]
--- a/internal/kcspeed/rate.go
+++ b/internal/kcspeed/rate.go
@@ -47,28 +47,17 @@
 }
 
 // Staleness returns the work that an upstream far away is expected to have received
-// since the last reports of the instances there, in milliseconds. queuedMs is the mean
+// since the last reports of the instances there, in milliseconds. ageMs is the mean age
+// of these reports, 0 if there are none. queuedMs is the mean
 // work that is queued at such upstreams according to the reports: the part of the time
 // for which they are busy follows from it and from the usual work of a request, as in
 // a queue with one server. Where upstreams differ in speed, the fast one that looks idle
 // in old reports would attract the requests of all instances, and the gain would be
 // lost to queues.
-func (r *PickRate) Staleness(now kcclock.Millis, far ReportTimes, queuedMs float64) float64 {
-	if far.count == 0 || queuedMs <= 0 {
+func (r *PickRate) Staleness(ageMs, queuedMs float64) float64 {
+	if queuedMs <= 0 {
 		return 0
 	}
 	busy := queuedMs / (queuedMs + r.MeanWorkMs())
-	return busy * min(float64(now)-float64(far.sum)/float64(far.count), float64(maxStalenessMs))
+	return busy * min(ageMs, float64(maxStalenessMs))
 }
-
-// ReportTimes sums the times of the newest reports of peers.
-type ReportTimes struct {
-	count int
-	sum   kcclock.Millis
-}
-
-// Add adds the report of a peer.
-func (t *ReportTimes) Add(at kcclock.Millis) { t.count, t.sum = t.count+1, t.sum+at }
-
-// Remove removes the report of a peer.
-func (t *ReportTimes) Remove(at kcclock.Millis) { t.count, t.sum = t.count-1, t.sum-at }
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -113,6 +113,9 @@
 	Limits       Limits
 	// HealthPaths holds the path of the health check by service.
 	HealthPaths map[string]string
+	// EngineTokens holds the memory of an upstream in tokens by service, for services
+	// whose upstreams state it.
+	EngineTokens map[string]int
 }
 
 // AddRoute adds a route to the table.
