--- a/internal/kcgate/admission_test.go
+++ b/internal/kcgate/admission_test.go
@@ -186,6 +186,7 @@
 		t.Errorf("calm:\n%s", text.String())
 	}
 	full.Store(true)
+	f.clock.Advance(kcroom.CacheMs) // the room was computed before the first response
 	resp, _, err := f.request(t, "/once/x")
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "0.02" {
 		t.Errorf("full: %v, %v", resp, err)
--- a/internal/kcgate/cascade.go
+++ b/internal/kcgate/cascade.go
@@ -40,7 +40,7 @@
 	}
 	e := kcadmit.Escalation{
 		RemainingMs: x.receivedAt + x.route.LatencyObjectiveMs - x.g.Clock.Now(),
-		ExpectedMs:  x.g.firstEvents.expect(x.route.Models[n-1], x.meta.PromptTokens),
+		ExpectedMs:  x.g.firstEvents.Expect(x.route.Models[n-1], x.meta.PromptTokens),
 		Share:       x.g.Admission.EscalationShare(x.service),
 	}
 	return float64(head.Confidence) < e.Threshold() && x.g.takeRetry(x.service)
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcadmit"
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kclatency"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
@@ -149,8 +150,8 @@
 	Rollouts    *Rollouts
 	startup     startupState
 	drain       drainState
-	firstEvents *firstEventEstimator
-	latencies   *latencyStats
+	firstEvents *kclatency.FirstEvents
+	latencies   *kclatency.Stats
 	// Admission is nil unless the deployment has overload control.
 	Admission *kcadmit.Admission
 	// Quarantine holds the prompt parts under which upstreams have crashed.
@@ -164,6 +165,7 @@
 func New(opts Options) *Gateway {
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
 	upstreams.log, upstreams.instance, upstreams.wallClock = opts.Log, opts.Deployment.Instance, opts.WallClock
+	upstreams.sharesFigures = opts.Deployment.Overload
 	upstreams.warmup = kcwarmup.Warmup{
 		Instance: opts.Deployment.Instance, Overage: opts.Deployment.Bounds.ColdOverage, Slack: opts.Deployment.Bounds.ColdSlack,
 		Log: opts.Log,
@@ -174,8 +176,8 @@
 		Upstreams:   upstreams,
 		startup:     startupState{startedAt: opts.Clock.Now(), table: make(chan struct{}), upstreams: upstreams.loaded},
 		Rollouts:    NewRollouts(opts),
-		firstEvents: newFirstEventEstimator(),
-		latencies:   newLatencyStats(),
+		firstEvents: kclatency.NewFirstEvents(),
+		latencies:   kclatency.NewStats(),
 		Quarantine: kcquarantine.New(kcquarantine.Options{
 			Clock: opts.Clock, Instance: opts.Deployment.Instance, OnBlocked: opts.OnPartBlocked, OnCleared: opts.OnPartCleared,
 			OnTrial: opts.OnTrial,
@@ -197,6 +199,9 @@
 				close(g.startup.table)
 			}
 			g.Upstreams.setColdStarts(t.ColdStarts)
+			if g.Deployment.Overload {
+				g.Upstreams.setCapacity(t.EngineTokens)
+			}
 			return true
 		}
 	}
--- a/internal/kcgate/room.go
+++ b/internal/kcgate/room.go
@@ -2,91 +2,82 @@
 
 import (
 	"github.com/kingcuprail/kingcuprail/internal/kcroom"
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-const (
-	// roomTTLMs is how long the room of a service is kept.
-	roomTTLMs = 10 * kcclock.Millisecond
-	// queuePerUpstream is the number of requests that an upstream is assumed to
-	// queue until it has rejected one with a shorter queue.
-	queuePerUpstream = 24
-	// holdWeight is the weight of one request in the mean time that a slot is held.
-	holdWeight = 0.05
-)
-
-// roomCache holds the last room of each service.
-type roomCache struct {
-	byService map[string]kcroom.Room
-	at        map[string]kcclock.Millis
-	// holdMs is the mean time that requests hold a slot.
-	holdMs map[string]float64
-}
-
-// recordHold records how long a request used a slot, if it did not queue there.
-func (l *Upstreams) recordHold(c *pickedUpstream, holdMs float64) {
-	if c.loadAtPick >= c.Slots {
-		return
-	}
-	service := c.Service
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.rooms.holdMs == nil {
-		l.rooms.holdMs = make(map[string]float64)
-	}
-	if l.rooms.holdMs[service] == 0 {
-		l.rooms.holdMs[service] = holdMs
-	}
-	l.rooms.holdMs[service] += holdWeight * (holdMs - l.rooms.holdMs[service])
+// roomState is what the room of a service is computed from, and the last result.
+type roomState struct {
+	// hold is the time that requests hold a slot, expectedHoldMs the expected one
+	// before the first has ended.
+	hold           kcroom.Mean
+	expectedHoldMs float64
+	// tokens is the size of requests with prompts.
+	tokens kcroom.Mean
+	room   kcroom.Room
+	roomAt kcclock.Millis
+	use    float64
 }
 
-// addRoom adds the upstream to a room.
-func (u *upstream) addRoom(r *kcroom.Room, now kcclock.Millis) {
-	if u.leaving() || u.paused(now) || !u.breaker.Ready(now) {
-		return
+func (s *serviceState) recordPick(w *pickCriteria, workMs float64, now kcclock.Millis) {
+	s.picks.Add(now, workMs)
+	s.expectedHoldMs = w.holdMs
+	if w.tokens > 0 {
+		s.tokens.Add(float64(w.tokens))
 	}
-	load := u.estimatedLoad(now)
-	r.Upstreams++
-	r.Slots += u.Slots
-	r.Busy += load
-	r.Free += max(u.Slots-load, 0)
-	r.Queueable += max(queuePerUpstream-max(load-u.Slots, 0), 0)
 }
 
-// Room returns the capacity of the upstreams of a service in the region whose version
-// is usable; nil means any.
-func (l *Upstreams) Room(service string, usable func(version string) bool) kcroom.Room {
+// Room returns the room of the upstreams of a service that take requests and for
+// which usable, if not nil, is true. usable must only depend on the service, because
+// the result is kept for some milliseconds. Upstreams of other regions count only if
+// the region has none, because load reports do not cross regions.
+func (l *Upstreams) Room(service string, usable func(kctable.Upstream) bool) kcroom.Room {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.rooms.byService == nil {
-		l.rooms.byService, l.rooms.at = make(map[string]kcroom.Room), make(map[string]kcclock.Millis)
-	}
-	if at, known := l.rooms.at[service]; known && now-at < roomTTLMs && usable == nil {
-		return l.rooms.byService[service]
+	s := l.state(service)
+	if s.roomAt != 0 && now-s.roomAt < kcroom.KeepMs(s.room.Upstreams) {
+		return s.room
 	}
 	l.expirePeerLoads(now)
-	var r kcroom.Room
-	all := l.index(service)
-	for _, list := range all[:inOtherRegion] {
+	var b kcroom.Builder
+	meanTokens := 0.0
+	if l.capacity[service] > 0 {
+		meanTokens = s.tokens.Or(0)
+	}
+	unheard := [distances]float64{inOtherRegion: 1}
+	if n := len(l.peerZones); n > 0 {
+		unheard[inZone] = max(1-float64(l.peers.Len())/float64(n), 0)
+		unheard[inRegion] = unheard[inZone]
+	}
+	for d, list := range l.index(service) {
+		if distance(d) == inOtherRegion && !b.Empty() {
+			break
+		}
 		for _, u := range list {
-			if usable == nil || usable(u.Version) {
-				u.addRoom(&r, now)
+			if u.leaving() || u.paused(now) || !u.breaker.Ready(now) || usable != nil && !usable(u.Upstream) {
+				continue
 			}
+			b.Add(kcroom.Upstream{
+				Slots: u.Slots, Load: u.estimatedLoad(now), Fresh: u.figures.Fresh(now), AgeMs: u.figures.Age(now),
+				QueueLimit: u.queue.Limit(u.Slots), PrefillMs: u.figures.Pace(now).Ms(u.pendingWorkMs + u.peersWorkMs),
+				FreeTokens: kcroom.FreeTokens(l.usedMemory(u, meanTokens, now), l.capacity[service]), Unheard: unheard[d],
+			}, meanTokens)
 		}
 	}
-	r.HoldMs = defaultUnaryHoldMs
-	if hold := l.rooms.holdMs[service]; hold > 0 {
-		r.HoldMs = hold
-	}
-	if over := r.Busy + 1 - r.Slots; r.Free == 0 && r.Slots > 0 {
-		r.WaitMs = r.HoldMs * float64(max(over, 0)) / float64(r.Slots)
-	}
-	if n := len(l.peerLoads); n > 0 {
-		r.AgeMs = l.peerReportAgeSum(now) / kcclock.Millis(n)
-	}
-	if usable == nil {
-		l.rooms.byService[service], l.rooms.at[service] = r, now
-	}
-	return r
+	s.room, s.use = b.Room(s.hold.Or(s.expectedHoldMs), s.use)
+	s.roomAt = now
+	return s.room
+}
+
+// usedMemory returns the estimated memory in use at an upstream, in tokens.
+func (l *Upstreams) usedMemory(u *upstream, meanTokens float64, now kcclock.Millis) int {
+	return u.memory.Used(u.inFlight, u.estimatedLoad(now), meanTokens)
+}
+
+// setCapacity sets the memory of an upstream in tokens by service.
+func (l *Upstreams) setCapacity(capacity map[string]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.capacity = capacity
 }
--- a/internal/kcgate/warmup.go
+++ b/internal/kcgate/warmup.go
@@ -38,7 +38,7 @@
 }
 
 // heard reports whether this instance has heard from a peer recently.
-func (l *Upstreams) heard() bool { return len(l.peerLoads) > 0 }
+func (l *Upstreams) heard() bool { return l.peers.Len() > 0 }
 
 // coldLeft returns the least time until a cold upstream that would take a request
 // takes one of this instance, and 0 if none is cold.
