kcprefix: Weigh cached prompts against waits, memory, speed and the delay of others

Cause: the choice of an upstream assumed that the home of a shared part holds it, whatever it has evicted or forgotten, sent the overflow of a hot part to any upstream, and counted the work in the load reports of peers as if none of it had been done since. Requests left idle homes and read the shared part again.

Change: package kcprefix holds the belief about prefix caches (moved out of kcgate) and weighs it, with its age, restarts and the memory in use, against the wait, the speed, the memory and the delay of later requests. A part has as few holders as have time for its requests, in an order on which all instances agree. The work in reports counts as done with the age of the report. All of this acts only where Deployment.Overload is set or the upstreams of the service name their speed; otherwise the choice is as before.

--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -5,10 +5,10 @@
 	"errors"
 	"net/http"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -147,10 +147,13 @@
 	x.g.Metrics.Count("versions." + x.decision.reason)
 	c, ok := x.g.Upstreams.pick(pickCriteria{
 		service: x.service, allowsVersion: x.decision.allows,
-		tried: tried, prompt: x.promptFor(model), holdMs: x.expectedHoldMs(),
+		tried: tried, prompt: x.promptFor(model), holdMs: x.expectedHoldMs(), memoryTokens: x.table.MemoryTokens[x.service],
 		upstreamShare: func(version string) float64 { return x.g.Rollouts.upstreamShare(x.service, version) },
 	})
 	if ok {
+		if c.held.Outcome != kcprefix.NotWeighed {
+			x.g.Metrics.Count("prefix." + c.held.String())
+		}
 		x.g.Rollouts.pinSession(x.session(), c.Version, !x.sessionPinned)
 		x.sessionPinned = true
 	}
@@ -158,17 +161,12 @@
 }
 
 // promptFor describes the prompt that an engine has to prefill for the request.
-func (x *exchange) promptFor(model string) prompt {
-	p := prompt{model: model, parts: x.meta.PromptParts, tokens: x.meta.PromptTokens}
-	if p.tokens > 0 {
-		p.msPerToken = x.g.firstEvents.prefillTime(model)
-	}
-	// The last part is specific to the request or its session, so the affinity
-	// key is the part before it.
-	if n := len(p.parts); n >= 2 {
-		p.affinity = xxhash.Sum64String(p.parts[n-2].ID) | 1
+func (x *exchange) promptFor(model string) kcprefix.Prompt {
+	msPerToken := 0.0
+	if x.meta.PromptTokens > 0 {
+		msPerToken = x.g.firstEvents.prefillTime(model)
 	}
-	return p
+	return kcprefix.NewPrompt(model, x.meta.PromptParts, x.meta.PromptTokens, msPerToken)
 }
 
 // expectedHoldMs returns roughly how long the request occupies a slot of its
@@ -209,7 +207,7 @@
 		if n := x.meta.PromptTokens; n >= minPrefillTokens {
 			x.classifyLatency(c, "read/"+model, max(float64(elapsedMs-firstEventOverheadMs), 0)/float64(n), engineSlowFactor)
 		}
-		x.g.firstEvents.observe(model, x.meta.PromptTokens, elapsedMs)
+		x.g.firstEvents.observe(model, x.meta.PromptTokens, c.held.HeldTokens, elapsedMs)
 	}
 	if head.HasConfidence {
 		x.attempts[last].confidence = head.Confidence
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -12,18 +12,15 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-// PromptPart is one part of a prompt. An engine can reuse its prefix cache for
-// requests whose prompts begin with the same parts.
-type PromptPart struct {
-	ID     string
-	Tokens int
-}
+// PromptPart is one part of a prompt.
+type PromptPart = kcprefix.Part
 
 // RequestMeta is what the headers of a request say.
 type RequestMeta struct {
@@ -155,7 +152,7 @@
 // New returns a gateway without a configuration.
 func New(opts Options) *Gateway {
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
-	upstreams.log, upstreams.instance = opts.Log, opts.Deployment.Instance
+	upstreams.log, upstreams.instance, upstreams.overload = opts.Log, opts.Deployment.Instance, opts.Deployment.Overload
 	return &Gateway{
 		Options:     opts,
 		Upstreams:   upstreams,
--- a/internal/kcgate/limit_load_test.go
+++ b/internal/kcgate/limit_load_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -200,7 +201,7 @@
 func (s *limitSim) request(now kcclock.Millis) {
 	i := s.rnd.IntN(len(s.instances))
 	c, ok := s.instances[i].pick(pickCriteria{
-		service: "s", allowsVersion: anyVersion, prompt: prompt{tokens: 1000 + s.rnd.IntN(8000), msPerToken: 0.01},
+		service: "s", allowsVersion: anyVersion, prompt: kcprefix.Prompt{Tokens: 1000 + s.rnd.IntN(8000), MsPerToken: 0.01},
 	})
 	if !ok {
 		s.rejected++
--- a/internal/kcgate/pace.go
+++ b/internal/kcgate/pace.go
@@ -87,8 +87,9 @@
 	return kcclock.Millis(pace * float64(promptTokens+basePromptTokens))
 }
 
-// observe records the time to the first event of a response.
-func (p *firstEventEstimator) observe(model string, promptTokens int, took kcclock.Millis) {
+// observe records the time to the first event of a response to a prompt of which
+// the engine probably held heldTokens.
+func (p *firstEventEstimator) observe(model string, promptTokens, heldTokens int, took kcclock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.msPerToken[model]
@@ -97,7 +98,8 @@
 		p.msPerToken[model] = m
 	}
 	m.observe(medianQuantile, max(float64(took), 1)/float64(promptTokens+basePromptTokens))
-	if promptTokens < minPrefillTokens {
+	missing := promptTokens - heldTokens
+	if missing < minPrefillTokens {
 		return
 	}
 	q := p.prefillMsPerToken[model]
@@ -105,7 +107,7 @@
 		q = &quantile{value: initialPrefillMsPerToken, count: 1}
 		p.prefillMsPerToken[model] = q
 	}
-	q.observe(prefillQuantile, max(float64(took-firstEventOverheadMs)/float64(promptTokens), minObservation))
+	q.observe(prefillQuantile, max(float64(took-firstEventOverheadMs)/float64(missing), minObservation))
 }
 
 const (
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -22,9 +23,11 @@
 	// tried holds the ids of upstreams to leave out.
 	tried kcset.Set[string]
 	// prompt describes the prompt of a request to an engine.
-	prompt prompt
+	prompt kcprefix.Prompt
 	// holdMs is roughly how long the request occupies a slot.
 	holdMs float64
+	// memoryTokens is the memory of an upstream in tokens, 0 if unknown.
+	memoryTokens int
 }
 
 // accepts reports whether an upstream may get the request.
@@ -44,6 +47,8 @@
 	candidates int
 	// pendingWorkMs is the work that is counted until the response begins.
 	pendingWorkMs float64
+	// held is what the upstream is believed to hold of the prompt.
+	held kcprefix.Placement
 }
 
 // pick chooses an upstream and counts a request for it.
@@ -53,16 +58,16 @@
 	defer l.mu.Unlock()
 	l.expirePeerLoads(now)
 	candidates := l.candidates(&w, now)
-	home := l.prefixHome(&w, candidates, now)
-	list := l.sample(&w, candidates, home, now)
+	holders := l.holders(&w, candidates, now)
+	list := l.sample(&w, candidates, holders, now)
 	l.countPick(w.service, now)
 	workers := make([]kcroute.UpstreamWork, len(list))
 	for i, u := range list {
 		workers[i] = kcroute.UpstreamWork{
 			Slots: u.Slots, Running: u.estimatedLoad(now), QueuedMs: u.pendingWorkMs + u.peersWorkMs,
-			RequestMs: l.prefillMs(w.prompt, u, u == home), DistanceMs: distanceCostMs[l.distance(u)], SlotHoldMs: w.holdMs,
-			SlowdownPerRequestMs: perRequestCostMs,
+			DistanceMs: distanceCostMs[l.distance(u)], SlotHoldMs: w.holdMs, SlowdownPerRequestMs: perRequestCostMs,
 		}
+		l.addPrefill(&w, u, holders, &workers[i], now)
 	}
 	addFailurePenalty(now, workers, list)
 	i := kcroute.ChooseFastestUpstream(workers)
@@ -77,9 +82,9 @@
 	}
 	u.inFlight++
 	u.pendingWorkMs += workers[i].RequestMs
-	l.prefixes.add(w.prompt, u.ID, now)
 	return &pickedUpstream{
 		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), pendingWorkMs: workers[i].RequestMs,
+		held: l.prefixes.Sent(u.prefixCandidate(holders), now),
 	}, true
 }
 
@@ -104,16 +109,19 @@
 // changed, so that a pick does not walk thousands of upstreams.
 func (l *Upstreams) index(service string) upstreamsByDistance {
 	if l.byService == nil {
-		l.byService = make(map[string]upstreamsByDistance)
+		l.byService, l.indexHashes = make(map[string]upstreamsByDistance), make(map[string][distances][]uint64)
 		for _, u := range l.byID {
 			list := l.byService[u.Service]
 			list[l.distance(u)] = append(list[l.distance(u)], u)
 			l.byService[u.Service] = list
 		}
-		for _, lists := range l.byService {
-			for _, list := range lists {
+		for name, lists := range l.byService {
+			var hashes [distances][]uint64
+			for d, list := range lists {
 				slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.idHash, b.idHash) })
+				hashes[d] = hashesOf(list)
 			}
+			l.indexHashes[name] = hashes
 		}
 	}
 	return l.byService[service]
@@ -151,25 +159,44 @@
 	return shared
 }
 
-// prefixHome returns the upstream at which all instances of a region expect the
-// shared parts of a prompt to be cached. It is used unless it is busy. With one
-// such upstream per availability zone, the parts would be prefilled once in each
-// zone.
-func (l *Upstreams) prefixHome(w *pickCriteria, candidates upstreamsByDistance, now kcclock.Millis) *upstream {
-	if w.prompt.affinity == 0 {
+// holders returns the upstreams of the region at which all instances expect the
+// shared parts of a prompt to be cached, in an order on which they agree. Without
+// weighing, there is only the first. With such upstreams in each availability zone,
+// the parts would be prefilled once in each zone.
+func (l *Upstreams) holders(w *pickCriteria, candidates upstreamsByDistance, now kcclock.Millis) []*upstream {
+	l.prefixes.Begin(w.prompt)
+	wanted := 1
+	if l.weighsPrefixes(w.service) {
+		wanted = l.prefixes.Holders(kcprefix.Service{
+			Name: w.service, Instances: len(l.peerLoads) + 1, MemoryTokens: w.memoryTokens,
+			Upstreams: len(candidates[inZone]) + len(candidates[inRegion]),
+		}, now)
+	}
+	if w.prompt.Affinity == 0 || wanted == 0 {
 		return nil
 	}
-	var best *upstream
-	var maxHash uint64
-	for _, list := range candidates[:inOtherRegion] {
-		for _, u := range list {
-			h := kcset.Mix(w.prompt.affinity ^ u.idHash)
-			if (best == nil || h > maxHash) && l.accepts(w, u, now) {
-				best, maxHash = u, h
-			}
-		}
+	l.ranking.Reset(w.prompt.Affinity, wanted)
+	for d, near := range candidates[:inOtherRegion] {
+		l.ranking.Add(near, l.idHashes(w.service, distance(d), near), func(u *upstream) bool { return l.accepts(w, u, now) })
+	}
+	return l.ranking.Members()
+}
+
+// idHashes returns the hash of the id of each upstream in list. Those of an indexed
+// list are kept side by side, because each pick reads them all.
+func (l *Upstreams) idHashes(service string, d distance, list []*upstream) []uint64 {
+	if all := l.byService[service][d]; len(list) > 0 && len(list) == len(all) && &list[0] == &all[0] {
+		return l.indexHashes[service][d]
+	}
+	return hashesOf(list)
+}
+
+func hashesOf(list []*upstream) []uint64 {
+	hashes := make([]uint64, len(list))
+	for i, u := range list {
+		hashes[i] = u.idHash
 	}
-	return best
+	return hashes
 }
 
 // limitToShare returns the share of the upstreams that get requests. All
--- a/internal/kcgate/pick_bench_test.go
+++ b/internal/kcgate/pick_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -12,14 +13,22 @@
 // BenchmarkPick measures one choice of a version and an upstream, with the baseline of a small
 // deployment in the same run.
 func BenchmarkPick(b *testing.B) {
-	for _, size := range []struct{ upstreams, peers int }{{12, 8}, {160, 147}, {3200, 189}} {
-		b.Run(fmt.Sprint(size.upstreams, "upstreams"), func(b *testing.B) {
+	for _, size := range []struct {
+		upstreams, peers int
+		overload         bool
+	}{{12, 8, false}, {160, 147, false}, {3200, 189, false}, {160, 147, true}, {3200, 189, true}} {
+		name := fmt.Sprint(size.upstreams, "upstreams")
+		if size.overload {
+			name += "Weighed"
+		}
+		b.Run(name, func(b *testing.B) {
 			clock := kcclock.NewManual(1_000_000)
 			zones := make(map[string]string)
 			for z := range 5 {
 				zones[fmt.Sprint("z", z)] = fmt.Sprint("r", z%2)
 			}
 			l := NewUpstreams(clock, "z0", zones)
+			l.overload = size.overload
 			for i := range size.upstreams {
 				l.Upsert(kctable.Upstream{
 					ID: fmt.Sprint("e", i), Service: "s", Zone: fmt.Sprint("z", i%5), Version: "v", Slots: 32,
@@ -34,8 +43,8 @@
 			}
 			w := pickCriteria{
 				service: "s", allowsVersion: anyVersion,
-				prompt: prompt{
-					tokens: 2000, msPerToken: 0.01, affinity: 7, parts: []PromptPart{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 1000}},
+				prompt: kcprefix.Prompt{
+					Tokens: 2000, MsPerToken: 0.01, Affinity: 7, Parts: []PromptPart{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 1000}},
 				},
 			}
 			clock.Advance(300)
--- a/internal/kcgate/placement.go
+++ b/internal/kcgate/placement.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
+	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -28,27 +28,8 @@
 	// peerLoadCheckMs is the time between checks for expired reports, a small part
 	// of the time for which they count.
 	peerLoadCheckMs = 50 * kcclock.Millisecond
-	// prefixTTLMs is how long an engine is expected to keep an unused part of a
-	// prompt in its prefix cache.
-	prefixTTLMs = 10 * kcclock.Second
-	// maxPrefixParts bounds the entries of each of the two generations of a
-	// prefixCache.
-	maxPrefixParts = 8192
 )
 
-// prompt is what an engine has to prefill for a request.
-type prompt struct {
-	model string
-	parts []PromptPart
-	// tokens is the length of the whole prompt.
-	tokens int
-	// msPerToken is the prefill time per token in milliseconds.
-	msPerToken float64
-	// affinity identifies the longest part that is shared with other requests. It
-	// is 0 if there is none.
-	affinity uint64
-}
-
 // distance is how far an upstream is away.
 type distance int
 
@@ -73,51 +54,41 @@
 // distanceCostMs holds the placement cost of each distance.
 var distanceCostMs = [distances]float64{inRegion: crossZoneCostMs, inOtherRegion: crossRegionCostMs}
 
-// prefillMs returns the expected prefill time of a prompt at an upstream. At the
-// prefix home, the shared parts are expected to be cached. Elsewhere, only the
-// parts that this instance has sent there are.
-func (l *Upstreams) prefillMs(p prompt, u *upstream, home bool) float64 {
-	known := 0
-	for i, part := range p.parts {
-		shared := i < len(p.parts)-1
-		if (!home || !shared) && !l.prefixes.has(p.model, part.ID, u.ID, l.clock.Now()) {
-			break
-		}
-		known += part.Tokens
-	}
-	return p.msPerToken * float64(max(p.tokens-known, 0))
+// weighsPrefixes reports whether the belief about prefix caches is weighed for a
+// service.
+func (l *Upstreams) weighsPrefixes(service string) bool {
+	return l.overload || l.speedNamed.Has(service)
 }
 
-// prefixCache remembers which parts of prompts were sent to which upstream. It
-// keeps two generations of bounded size.
-type prefixCache struct{ current, previous map[uint64]kcclock.Millis }
-
-func prefixKey(model, part, upstream string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, s := range [...]string{model, part, upstream} {
-		_, _ = d.WriteString(s)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
+// setSlowdown sets the factor by which work takes longer than usual at an upstream
+// that names its speed.
+func (l *Upstreams) setSlowdown(u *upstream, factor float64) {
+	u.slowdown = factor
+	l.speedNamed.Add(u.Service)
 }
 
-func (r *prefixCache) add(p prompt, upstream string, now kcclock.Millis) {
-	for _, part := range p.parts {
-		if r.current == nil || len(r.current) >= maxPrefixParts {
-			r.previous, r.current = r.current, make(map[uint64]kcclock.Millis)
-		}
-		r.current[prefixKey(p.model, part.ID, upstream)] = now
+func (u *upstream) prefixCandidate(holders []*upstream) kcprefix.Candidate {
+	return kcprefix.Candidate{
+		Hash: u.idHash, StartedAtMs: u.StartedAtMs, RestartedAt: u.restartedAt, Rank: slices.Index(holders, u), Slowdown: u.slowdown,
 	}
 }
 
-func (r *prefixCache) has(model, part, upstream string, now kcclock.Millis) bool {
-	key := prefixKey(model, part, upstream)
-	at, ok := r.current[key]
-	if !ok {
-		at, ok = r.previous[key]
+// addPrefill adds the prefill of a prompt at an upstream to work. Holders must have
+// been called.
+func (l *Upstreams) addPrefill(
+	w *pickCriteria, u *upstream, holders []*upstream, work *kcroute.UpstreamWork, now kcclock.Millis,
+) {
+	c := u.prefixCandidate(holders)
+	if !l.weighsPrefixes(w.service) {
+		work.RequestMs = l.prefixes.PrefillMs(c, now)
+		return
 	}
-	return ok && now-at < prefixTTLMs
+	// The upstream has worked since the last report on it.
+	c.Running = work.Running
+	c.QueuedMs = u.pendingWorkMs + max(u.peersWorkMs-float64(now-u.peersWorkAt), 0)
+	cost := l.prefixes.Weigh(c, now)
+	work.QueuedMs, work.RequestMs = cost.QueuedMs, cost.RequestMs
+	work.DistanceMs += cost.OthersMs
 }
 
 // peerLoad is the last load report of another instance.
@@ -151,6 +122,9 @@
 	for _, s := range p.shares {
 		if u := l.byID[s.Upstream]; u != nil {
 			u.peersWorkMs = max(u.peersWorkMs+float64(sign*s.PendingWorkMs), 0)
+			if sign > 0 && s.PendingWorkMs > 0 {
+				u.peersWorkAt = l.clock.Now()
+			}
 			u.peersRunning = max(u.peersRunning+sign*s.RunningRequests, 0)
 		}
 	}
--- a/internal/kcgate/placement_test.go
+++ b/internal/kcgate/placement_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -81,7 +82,7 @@
 }
 
 func placeByCount(rnd *rand.Rand, own *Upstreams, w pickCriteria, queued []int) (*pickedUpstream, int) {
-	w.prompt.tokens = 0
+	w.prompt.Tokens = 0
 	return placeByWork(rnd, own, w, queued)
 }
 
@@ -138,7 +139,7 @@
 			perToken = largeModelMsPerToken
 		}
 		own := instances[rnd.IntN(load.instances)]
-		w := pickCriteria{service: "s", allowsVersion: anyVersion, prompt: prompt{tokens: int(tokens), msPerToken: perToken}}
+		w := pickCriteria{service: "s", allowsVersion: anyVersion, prompt: kcprefix.Prompt{Tokens: int(tokens), MsPerToken: perToken}}
 		c, i := place(rnd, own, w, queued)
 		queues[i] = append(queues[i], prefillJob{arrived: t, prefillMs: tokens * perToken, picked: c, instance: own})
 		queued[i]++
--- a/internal/kcgate/sample.go
+++ b/internal/kcgate/sample.go
@@ -20,33 +20,10 @@
 	minSample = 2
 )
 
-// pickRate is the exponentially weighted rate of picks for a service.
-type pickRate struct {
-	count float64
-	at    kcclock.Millis
-}
-
-func (r *pickRate) add(now kcclock.Millis) {
-	r.count, r.at = r.countAt(now)+1, now
-}
-
-func (r *pickRate) countAt(now kcclock.Millis) float64 {
-	return r.count * math.Exp(-float64(now-r.at)/float64(pickRateWindowMs))
-}
-
-// perMs returns the picks per millisecond.
-func (r *pickRate) perMs(now kcclock.Millis) float64 {
-	return r.countAt(now) / float64(pickRateWindowMs)
-}
-
 // unseenPicks estimates how many picks for a service the other instances have
 // made since their last reports, if each makes as many as this one.
 func (l *Upstreams) unseenPicks(service string, now kcclock.Millis) float64 {
-	r := l.pickRates[service]
-	if r == nil {
-		return 0
-	}
-	return r.perMs(now) * float64(l.peerReportAgeSum(now))
+	return l.pickRates[service].PerMs(now, pickRateWindowMs) * float64(l.peerReportAgeSum(now))
 }
 
 // peerReportAgeSum returns the sum of the ages of the reports of all peers.
@@ -55,12 +32,7 @@
 }
 
 func (l *Upstreams) countPick(service string, now kcclock.Millis) {
-	r := l.pickRates[service]
-	if r == nil {
-		r = &pickRate{}
-		l.pickRates[service] = r
-	}
-	r.add(now)
+	l.pickRates[service] = l.pickRates[service].Add(1, now, pickRateWindowMs)
 }
 
 // sample returns the upstreams that are compared for a request, in random order,
@@ -69,30 +41,43 @@
 // looks least busy in reports that are older than the picks of the others, and
 // queue there. The more picks are unseen, the fewer upstreams each compares.
 // Upstreams of each distance are sampled separately, so that most requests stay
-// near. home, if not nil, and upstreams with a limit are always compared.
-func (l *Upstreams) sample(w *pickCriteria, candidates upstreamsByDistance, home *upstream, now kcclock.Millis) []*upstream {
+// near. Two of holders and upstreams with a limit are always compared.
+func (l *Upstreams) sample(w *pickCriteria, candidates upstreamsByDistance, holders []*upstream, now kcclock.Millis) []*upstream {
 	share := 1.0
 	if unseen := l.unseenPicks(w.service, now); unseen > maxUnseenPicks {
 		share = maxUnseenPicks / unseen
 	}
 	sampled := l.shared(w, candidates, now)
-	if home != nil && !slices.Contains(sampled, home) {
-		sampled = append(sampled, home)
+	for _, u := range l.twoOf(holders) {
+		if !slices.Contains(sampled, u) {
+			sampled = append(sampled, u)
+		}
 	}
 	always := len(sampled)
 	for _, list := range candidates {
 		wanted := max(int(math.Ceil(share*float64(len(list)))), minSample)
-		l.order = append(l.order[:0], list...)
-		for i := 0; i < len(l.order) && wanted > 0; i++ {
-			k := i + l.intN(len(l.order)-i)
-			l.order[i], l.order[k] = l.order[k], l.order[i]
-			if u := l.order[i]; l.accepts(w, u, now) {
+		l.shuffle.Each(len(list), l.intN, func(i int) bool {
+			if u := list[i]; l.accepts(w, u, now) {
 				wanted--
 				if !slices.Contains(sampled[:always], u) {
 					sampled = append(sampled, u)
 				}
 			}
-		}
+			return wanted > 0
+		})
 	}
 	return sampled
 }
+
+// twoOf returns two random ones of the holders of a part, so that instances do not
+// all choose the same one.
+func (l *Upstreams) twoOf(holders []*upstream) []*upstream {
+	if len(holders) <= 2 {
+		return holders
+	}
+	i, k := l.intN(len(holders)), l.intN(len(holders)-1)
+	if k >= i {
+		k++
+	}
+	return []*upstream{holders[i], holders[k]}
+}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -10,7 +10,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
+	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -57,6 +59,7 @@
 	// yet. The peers fields are the sums over the other instances.
 	pendingWorkMs float64
 	peersWorkMs   float64
+	peersWorkAt   kcclock.Millis
 	peersRunning  int
 	breaker       *kcretry.Breaker
 	// reportedLoad is the last reported load. At that time, loadReportedAt,
@@ -86,6 +89,11 @@
 	// limit is what the upstream says about the requests that it takes from all
 	// instances. It is nil if it has never named a limit.
 	limit *upstreamLimit
+	// restartedAt is when this instance first saw the process, 0 if that was in the
+	// first list. slowdown is the factor by which work takes longer there than
+	// usual, 0 if unknown.
+	restartedAt kcclock.Millis
+	slowdown    float64
 	// missingSince is set for entries that may have lapsed in an outage of the
 	// store, to the time at which the store was back.
 	missingSince kcclock.Millis
@@ -115,6 +123,8 @@
 	byID map[string]*upstream
 	// byService indexes byID by service. It is nil if it must be made again.
 	byService map[string]upstreamsByDistance
+	// indexHashes holds the hashes of the ids of the upstreams in byService.
+	indexHashes map[string][distances][]uint64
 	// versionsOf holds the results of versions since the last change of byID.
 	versionsOf map[string]versionCounts
 	// loaded is closed once the list is read.
@@ -132,10 +142,14 @@
 	// peerReportTimes is the sum of the times of the reports in peerLoads.
 	peerReportTimes kcclock.Millis
 	// pickRates holds the rates of picks by service.
-	pickRates map[string]*pickRate
-	prefixes  prefixCache
-	// order is the buffer in which sample shuffles upstreams.
-	order []*upstream
+	pickRates map[string]kcroute.Rate
+	prefixes  kcprefix.Beliefs
+	// overload is true if the deployment expects overload. speedNamed holds the
+	// services whose upstreams name their speed.
+	overload   bool
+	speedNamed kcset.Set[string]
+	ranking    kcprefix.Ranking[*upstream]
+	shuffle    kcset.Shuffle
 	// intN is a source of randomness that tests replace.
 	intN func(n int) int
 }
@@ -146,8 +160,8 @@
 		clock: clock, log: slog.New(slog.DiscardHandler), zone: zone, region: regions[zone], regions: regions,
 		byID:   make(map[string]*upstream),
 		loaded: make(chan struct{}), intN: rand.IntN, peerLoads: make(map[string]*peerLoad),
-		pickRates: make(map[string]*pickRate), versionsOf: make(map[string]versionCounts),
-		leavingProcesses: make(map[processID]kcclock.Millis),
+		pickRates: make(map[string]kcroute.Rate), versionsOf: make(map[string]versionCounts),
+		leavingProcesses: make(map[processID]kcclock.Millis), speedNamed: kcset.New[string](),
 	}
 }
 
@@ -167,14 +181,14 @@
 func (l *Upstreams) Replace(list []kctable.Upstream, storeReturnedAt kcclock.Millis) (kept int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.Loaded() {
-		close(l.loaded)
-	}
 	seen := kcset.New[string]()
 	for _, u := range list {
 		seen.Add(u.ID)
 		l.set(u)
 	}
+	if !l.Loaded() {
+		close(l.loaded)
+	}
 	for id := range l.byID {
 		if !seen.Has(id) && l.remove(id, storeReturnedAt) {
 			kept++
@@ -206,6 +220,9 @@
 		Upstream: u, region: l.regions[u.Zone], breaker: kcretry.NewBreaker(breakerOptions), idHash: xxhash.Sum64String(u.ID),
 	}
 	_, added.saidLeaving = l.leavingProcesses[added.process()]
+	if l.Loaded() {
+		added.restartedAt = l.clock.Now()
+	}
 	l.byID[u.ID] = added
 	return true
 }
--- a/internal/kcgate/upstreams_test.go
+++ b/internal/kcgate/upstreams_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -217,9 +218,9 @@
 		for zone, region := range regions {
 			l := NewUpstreams(clock, zone, regions)
 			l.Replace(all, 0)
-			c, ok := l.pick(pickCriteria{service: "s", allowsVersion: anyVersion, prompt: prompt{
-				model: "m", tokens: 6000, msPerToken: 0.01, affinity: uint64(group)*7919 + 1,
-				parts: []PromptPart{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 1000}},
+			c, ok := l.pick(pickCriteria{service: "s", allowsVersion: anyVersion, prompt: kcprefix.Prompt{
+				Model: "m", Tokens: 6000, MsPerToken: 0.01, Affinity: uint64(group)*7919 + 1,
+				Parts: []PromptPart{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 1000}},
 			}})
 			switch {
 			case !ok:
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -25,6 +25,8 @@
 	MemoryMB int
 	// LinkMbps is the bandwidth of the machine in Mbit/s, 0 if unknown.
 	LinkMbps int
+	// Overload is true if the deployment expects more load than it can serve.
+	Overload bool
 	Bounds   Bounds
 }
 
--- a/internal/kctable/table.go
+++ b/internal/kctable/table.go
@@ -113,6 +113,9 @@
 	Limits       Limits
 	// HealthPaths holds the path of the health check by service.
 	HealthPaths map[string]string
+	// MemoryTokens holds the memory of an upstream, in tokens of the prompts and
+	// responses that run there, by service.
+	MemoryTokens map[string]int
 }
 
 // AddRoute adds a route to the table.
