--- a/internal/kcgate/admission.go
+++ b/internal/kcgate/admission.go
@@ -53,8 +53,8 @@
 func (x *exchange) admissionRequest(model string, again bool) kcadmit.Request {
 	p := x.promptFor(model)
 	return kcadmit.Request{
-		Workspace: x.workspace, Kind: x.route.Name, Urgency: x.rank, Prompt: p.tokens > 0,
-		CostMs:      p.msPerToken * float64(p.tokens),
+		Workspace: x.workspace, Kind: x.route.Name, Urgency: x.rank, Prompt: p.Tokens > 0,
+		CostMs:      p.MsPerToken * float64(p.Tokens),
 		ObjectiveAt: x.receivedAt + cmp.Or(x.route.LatencyObjectiveMs, x.deadline-x.receivedAt), DeadlineAt: x.deadline,
 		PatienceUntil: x.receivedAt + x.meta.CallerTimeoutMs, Bytes: int64(len(x.body)), Again: again,
 	}
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -5,11 +5,11 @@
 	"errors"
 	"net/http"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kclatency"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
@@ -157,6 +157,7 @@
 	x.g.Metrics.Count("versions." + x.decision.reason)
 	w := x.criteria(tried)
 	w.prompt, w.holdMs = x.promptFor(model), x.expectedHoldMs()
+	w.memoryTokens = x.table.EngineTokens[x.service]
 	w.tokens = x.meta.PromptTokens + x.meta.OutputTokens
 	w.upstreamShare = func(version string) float64 { return x.g.Rollouts.upstreamShare(x.service, version) }
 	c, ok := x.g.Upstreams.pick(w)
@@ -170,6 +171,9 @@
 		if c.overMemory {
 			x.g.Metrics.Count("upstreams.overMemory")
 		}
+		if c.held.Outcome != kcprefix.NotWeighed {
+			x.g.Metrics.Count("prefix." + c.held.String())
+		}
 		x.g.Rollouts.pinSession(x.session(), c.Version, !x.sessionPinned)
 		x.sessionPinned = true
 	}
@@ -182,17 +186,12 @@
 }
 
 // promptFor describes the prompt that an engine has to prefill for the request.
-func (x *exchange) promptFor(model string) prompt {
-	p := prompt{model: model, parts: x.meta.PromptParts, tokens: x.meta.PromptTokens}
-	if p.tokens > 0 {
-		p.msPerToken = x.g.firstEvents.PrefillTime(model)
-	}
-	// The last part is specific to the request or its session, so the affinity
-	// key is the part before it.
-	if n := len(p.parts); n >= 2 {
-		p.affinity = xxhash.Sum64String(p.parts[n-2].ID) | 1
+func (x *exchange) promptFor(model string) kcprefix.Prompt {
+	msPerToken := 0.0
+	if x.meta.PromptTokens > 0 {
+		msPerToken = x.g.firstEvents.PrefillTime(model)
 	}
-	return p
+	return kcprefix.NewPrompt(model, x.meta.PromptParts, x.meta.PromptTokens, msPerToken)
 }
 
 // expectedHoldMs returns roughly how long the request occupies a slot of its
@@ -235,7 +234,7 @@
 			perToken := max(float64(elapsedMs-kclatency.FirstEventOverheadMs), 0) / float64(n)
 			x.classifyLatency(c, "read/"+model, perToken, kclatency.EngineSlowFactor)
 		}
-		x.g.firstEvents.Observe(model, x.meta.PromptTokens, elapsedMs)
+		x.g.firstEvents.Observe(model, x.meta.PromptTokens, c.held.HeldTokens, elapsedMs)
 	}
 	if head.HasConfidence {
 		x.attempts[last].confidence = head.Confidence
--- a/internal/kcgate/evacuation_test.go
+++ b/internal/kcgate/evacuation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/internal/kcwarmup"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -26,7 +27,9 @@
 	counts := func() map[string]int {
 		got := make(map[string]int)
 		for i := range 60 {
-			w.prompt = prompt{tokens: 100, msPerToken: 0.1, affinity: uint64(i), parts: []PromptPart{{fmt.Sprint(i), 90}, {"q", 10}}}
+			w.prompt = kcprefix.Prompt{
+				Tokens: 100, MsPerToken: 0.1, Affinity: uint64(i), Parts: []PromptPart{{ID: fmt.Sprint(i), Tokens: 90}, {ID: "q", Tokens: 10}},
+			}
 			if c, ok := l.pick(w); ok {
 				got[c.Zone]++
 			}
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kclatency"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcquarantine"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcspeed"
@@ -22,12 +23,8 @@
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-// PromptPart is one part of a prompt. An engine can reuse its prefix cache for
-// requests whose prompts begin with the same parts.
-type PromptPart struct {
-	ID     string
-	Tokens int
-}
+// PromptPart is one part of a prompt.
+type PromptPart = kcprefix.Part
 
 // RequestMeta is what the headers of a request say.
 type RequestMeta struct {
@@ -165,7 +162,7 @@
 func New(opts Options) *Gateway {
 	upstreams := NewUpstreams(opts.Clock, opts.Deployment.Zone, opts.Deployment.Regions)
 	upstreams.log, upstreams.instance, upstreams.wallClock = opts.Log, opts.Deployment.Instance, opts.WallClock
-	upstreams.sharesFigures = opts.Deployment.Overload
+	upstreams.sharesFigures, upstreams.overload = opts.Deployment.Overload, opts.Deployment.Overload
 	upstreams.warmup = kcwarmup.Warmup{
 		Instance: opts.Deployment.Instance, Overage: opts.Deployment.Bounds.ColdOverage, Slack: opts.Deployment.Bounds.ColdSlack,
 		Log: opts.Log,
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcroom"
 	"github.com/kingcuprail/kingcuprail/internal/kcroute"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
@@ -24,9 +25,11 @@
 	// tried holds the ids of upstreams to leave out.
 	tried kcset.Set[string]
 	// prompt describes the prompt of a request to an engine.
-	prompt prompt
+	prompt kcprefix.Prompt
 	// holdMs is roughly how long the request occupies a slot.
 	holdMs float64
+	// memoryTokens is the memory of an upstream in tokens, 0 if unknown.
+	memoryTokens int
 	// tokens is the length of the prompt and the answer. It must fit into capacity,
 	// the memory of an upstream in tokens; 0 if that does not matter.
 	tokens, capacity int
@@ -37,7 +40,7 @@
 // serviceMs returns how long a request without a prompt occupies an idle upstream
 // of the usual speed. The time to the first event of others is their prefill time.
 func (w *pickCriteria) serviceMs() float64 {
-	if w.prompt.tokens > 0 {
+	if w.prompt.Tokens > 0 {
 		return 0
 	}
 	return w.holdMs
@@ -68,6 +71,8 @@
 	tokens     int
 	overMemory bool
 	pickedAt   kcclock.Millis
+	// held is what the upstream is believed to hold of the prompt.
+	held kcprefix.Placement
 }
 
 // pick chooses an upstream and counts a request for it.
@@ -79,26 +84,30 @@
 	service := l.state(w.service)
 	w.capacity, w.meanTokens = l.capacity[w.service], service.tokens.Or(float64(w.tokens))
 	candidates := l.candidates(&w, now)
-	home := l.prefixHome(&w, candidates, now)
-	list := l.sample(&w, candidates, home, now)
+	holders := l.holders(&w, candidates, now)
+	list := l.sample(&w, candidates, holders, now)
 	overMemory := len(list) == 0 && w.capacity > 0
 	if overMemory {
 		w.capacity = 0
 		candidates = l.candidates(&w, now)
-		home = l.prefixHome(&w, candidates, now)
-		list = l.sample(&w, candidates, home, now)
+		holders = l.holders(&w, candidates, now)
+		list = l.sample(&w, candidates, holders, now)
 	}
 	workers := make([]kcroute.UpstreamWork, len(list))
 	for i, u := range list {
 		workers[i] = kcroute.UpstreamWork{
 			Slots: u.Slots, Running: u.estimatedLoad(now), QueuedMs: u.pendingWorkMs + u.peersWorkMs,
-			RequestMs: l.prefillMs(w.prompt, u, u == home), DistanceMs: distanceCostMs[l.distance(u)], SlotHoldMs: w.holdMs,
-			SlowdownPerRequestMs: perRequestCostMs,
+			DistanceMs: distanceCostMs[l.distance(u)], SlotHoldMs: w.holdMs, SlowdownPerRequestMs: perRequestCostMs,
 		}
+		l.addPrefill(&w, u, holders, &workers[i], now)
 	}
 	addFailurePenalty(now, workers, list)
 	if service.namesSpeed {
-		l.addStaleness(service, now, workers, list)
+		// A prompt with shared parts goes to their holders: keeping it near would read
+		// the parts again.
+		if w.prompt.Affinity == 0 {
+			l.addStaleness(service, now, workers, list)
+		}
 		for i, u := range list {
 			workers[i].ApplyPace(u.figures.Pace(now), w.serviceMs())
 		}
@@ -119,11 +128,11 @@
 	u.pendingWorkMs += workers[i].RequestMs
 	u.memory.Own += w.tokens
 	service.recordPick(&w, workers[i].RequestMs, now)
-	l.prefixes.add(w.prompt, u.ID, now)
 	return &pickedUpstream{
 		u: u, Upstream: u.Upstream, loadAtPick: workers[i].Running, candidates: len(list), cold: u.warm.Cold(now),
 		pendingWorkMs: workers[i].RequestMs,
 		tokens:        w.tokens, overMemory: overMemory, pickedAt: now,
+		held: l.prefixes.Sent(u.prefixCandidate(holders), now),
 	}, true
 }
 
@@ -171,7 +180,7 @@
 // upstreams.
 func (l *Upstreams) index(service string) upstreamsByDistance {
 	if l.byService == nil {
-		l.byService = make(map[string]upstreamsByDistance)
+		l.byService, l.indexHashes = make(map[string]upstreamsByDistance), make(map[string][distances][]uint64)
 		for _, u := range l.byID {
 			if l.zones.Evacuated(u.Zone) {
 				continue
@@ -180,10 +189,13 @@
 			list[l.distance(u)] = append(list[l.distance(u)], u)
 			l.byService[u.Service] = list
 		}
-		for _, lists := range l.byService {
-			for _, list := range lists {
+		for name, lists := range l.byService {
+			var hashes [distances][]uint64
+			for d, list := range lists {
 				slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.idHash, b.idHash) })
+				hashes[d] = hashesOf(list)
 			}
+			l.indexHashes[name] = hashes
 		}
 	}
 	return l.byService[service]
@@ -221,30 +233,56 @@
 	return shared
 }
 
-// prefixHome returns the upstream at which all instances of a region expect the
-// shared parts of a prompt to be cached. It is used unless it is busy. It is in the
-// own region, or in the regions that the request may use instead. With one
-// such upstream per availability zone, the parts would be prefilled once in each
-// zone.
-func (l *Upstreams) prefixHome(w *pickCriteria, candidates upstreamsByDistance, now kcclock.Millis) *upstream {
-	if w.prompt.affinity == 0 {
+// holders returns the upstreams of the region at which all instances expect the
+// shared parts of a prompt to be cached, in an order on which they agree. Without
+// weighing, there is only the first. With such upstreams in each availability zone,
+// the parts would be prefilled once in each zone.
+func (l *Upstreams) holders(w *pickCriteria, candidates upstreamsByDistance, now kcclock.Millis) []*upstream {
+	l.prefixes.Begin(w.prompt)
+	// They are in the own region, or in those that the request may use instead.
+	homes := candidates[:inOtherRegion]
+	if !w.regions.Allow(l.region) {
+		homes = candidates[:]
+	}
+	wanted := 1
+	if l.weighsPrefixes(w.service) {
+		wanted = l.prefixes.Holders(kcprefix.Service{
+			Name: w.service, Instances: l.peers.Len() + 1, MemoryTokens: w.memoryTokens,
+			Upstreams: countUpstreams(homes),
+		}, now)
+	}
+	if w.prompt.Affinity == 0 || wanted == 0 {
 		return nil
 	}
-	var best *upstream
-	var maxHash uint64
-	lists := candidates[:inOtherRegion]
-	if !w.regions.Allow(l.region) {
-		lists = candidates[:]
+	l.ranking.Reset(w.prompt.Affinity, wanted)
+	for d, near := range homes {
+		l.ranking.Add(near, l.idHashes(w.service, distance(d), near), func(u *upstream) bool { return l.accepts(w, u, now) })
 	}
+	return l.ranking.Members()
+}
+
+func countUpstreams(lists [][]*upstream) (n int) {
 	for _, list := range lists {
-		for _, u := range list {
-			h := kcset.Mix(w.prompt.affinity ^ u.idHash)
-			if (best == nil || h > maxHash) && l.accepts(w, u, now) {
-				best, maxHash = u, h
-			}
-		}
+		n += len(list)
+	}
+	return n
+}
+
+// idHashes returns the hash of the id of each upstream in list. Those of an indexed
+// list are kept side by side, because each pick reads them all.
+func (l *Upstreams) idHashes(service string, d distance, list []*upstream) []uint64 {
+	if all := l.byService[service][d]; len(list) > 0 && len(list) == len(all) && &list[0] == &all[0] {
+		return l.indexHashes[service][d]
+	}
+	return hashesOf(list)
+}
+
+func hashesOf(list []*upstream) []uint64 {
+	hashes := make([]uint64, len(list))
+	for i, u := range list {
+		hashes[i] = u.idHash
 	}
-	return best
+	return hashes
 }
 
 // limitToShare returns the share of the upstreams that get requests. All
--- a/internal/kcgate/regions_test.go
+++ b/internal/kcgate/regions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -78,9 +79,11 @@
 func checkPicksWithin(t *testing.T, l *Upstreams, w pickCriteria, region, version string) (home string) {
 	t.Helper()
 	for i := range 40 {
-		w.prompt = prompt{}
+		w.prompt = kcprefix.Prompt{}
 		if i%2 == 0 {
-			w.prompt = prompt{tokens: 6000, msPerToken: 1, affinity: 8, parts: []PromptPart{{"p", 5000}, {"q", 1000}}}
+			w.prompt = kcprefix.Prompt{
+				Tokens: 6000, MsPerToken: 1, Affinity: 8, Parts: []PromptPart{{ID: "p", Tokens: 5000}, {ID: "q", Tokens: 1000}},
+			}
 		}
 		p, ok := l.pick(w)
 		if !ok || l.regions[p.Zone] != region || p.Version != version {
--- a/internal/kcgate/room_test.go
+++ b/internal/kcgate/room_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -23,7 +24,9 @@
 	}
 	instances := []*Upstreams{newInstance("a"), newInstance("b")}
 	used := map[string]int{}
-	w := pickCriteria{service: "s", allowsVersion: anyVersion, tokens: 12_000, prompt: prompt{tokens: 12_000, msPerToken: 0.01}}
+	w := pickCriteria{service: "s", allowsVersion: anyVersion, tokens: 12_000, prompt: kcprefix.Prompt{
+		Tokens: 12_000, MsPerToken: 0.01,
+	}}
 	for n := range 29 {
 		from := instances[n%2]
 		c, ok := from.pick(w)
--- a/internal/kcgate/speed_load_test.go
+++ b/internal/kcgate/speed_load_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -163,7 +164,7 @@
 			}
 			c, e := place(s.rnd, s.instances[i], pickCriteria{
 				service: "s", allowsVersion: anyVersion, holdMs: streamHoldMs,
-				prompt: prompt{tokens: kind.tokens, msPerToken: speedMsPerToken},
+				prompt: kcprefix.Prompt{Tokens: kind.tokens, MsPerToken: speedMsPerToken},
 			}, queued)
 			j := speedJob{
 				arrived: t, leftMs: float64(kind.tokens) * speedMsPerToken, streamMs: float64(kind.events * speedEventMs), kind: k,
--- a/internal/kcgate/unchanged_test.go
+++ b/internal/kcgate/unchanged_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -34,7 +35,9 @@
 		}
 		w := pickCriteria{service: "s", allowsVersion: func(string) bool { return true }, holdMs: 100}
 		if i%2 == 0 {
-			w.prompt = prompt{tokens: 2000, msPerToken: 0.01, affinity: uint64(i%9) + 1, parts: []PromptPart{{"p", 1000}, {"q", 1000}}}
+			w.prompt = kcprefix.Prompt{
+				Tokens: 2000, MsPerToken: 0.01, Affinity: uint64(i%9) + 1, Parts: []PromptPart{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 1000}},
+			}
 		}
 		if c, ok := l.pick(w); ok {
 			picked++
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcload"
+	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcroom"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
@@ -55,6 +56,7 @@
 	// yet. The peers fields are the sums over the other instances.
 	pendingWorkMs float64
 	peersWorkMs   float64
+	peersWorkAt   kcclock.Millis
 	peersRunning  int
 	breaker       *kcretry.Breaker
 	// figures is what the upstream says about its load and speed, queue how many
@@ -87,6 +89,9 @@
 	// limit is what the upstream says about the requests that it takes from all
 	// instances. It is nil if it has never named a limit.
 	limit *upstreamLimit
+	// restartedAt is when this instance first saw the process, 0 if that was in the
+	// first list.
+	restartedAt kcclock.Millis
 	// missingSince is set for entries that may have lapsed in an outage of the
 	// store, to the time at which the store was back.
 	missingSince kcclock.Millis
@@ -113,6 +118,8 @@
 	byID map[string]*upstream
 	// byService indexes byID by service. It is nil if it must be made again.
 	byService map[string]upstreamsByDistance
+	// indexHashes holds the hashes of the ids of the upstreams in byService.
+	indexHashes map[string][distances][]uint64
 	// versionsOf holds the results of versions since the last change of byID.
 	versionsOf map[versionsKey]versionCounts
 	// loaded is closed once the list is read.
@@ -134,9 +141,11 @@
 	capacity map[string]int
 	zones    kcwarmup.Zones
 	warmup   kcwarmup.Warmup
-	prefixes prefixCache
-	// order is the buffer in which sample shuffles upstreams.
-	order []*upstream
+	prefixes kcprefix.Beliefs
+	// overload is true if the deployment expects overload.
+	overload bool
+	ranking  kcprefix.Ranking[*upstream]
+	shuffle  kcset.Shuffle
 	// intN is a source of randomness that tests replace.
 	intN func(n int) int
 }
@@ -208,6 +217,9 @@
 		Upstream: u, region: l.regions[u.Zone], breaker: kcretry.NewBreaker(breakerOptions), idHash: xxhash.Sum64String(u.ID),
 	}
 	_, added.saidLeaving = l.leavingProcesses[added.process()]
+	if l.Loaded() {
+		added.restartedAt = l.clock.Now()
+	}
 	l.byID[u.ID] = added
 	l.observeEntry(added, true)
 	return true
--- a/internal/kclatency/latency.go
+++ b/internal/kclatency/latency.go
@@ -90,8 +90,9 @@
 	return kcclock.Millis(pace * float64(promptTokens+basePromptTokens))
 }
 
-// Observe records the time to the first event of a response.
-func (p *FirstEvents) Observe(model string, promptTokens int, took kcclock.Millis) {
+// Observe records the time to the first event of a response to a prompt of which
+// the engine probably held heldTokens.
+func (p *FirstEvents) Observe(model string, promptTokens, heldTokens int, took kcclock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.msPerToken[model]
@@ -100,7 +101,8 @@
 		p.msPerToken[model] = m
 	}
 	m.observe(medianQuantile, max(float64(took), 1)/float64(promptTokens+basePromptTokens))
-	if promptTokens < MinPrefillTokens {
+	missing := promptTokens - heldTokens
+	if missing < MinPrefillTokens {
 		return
 	}
 	q := p.prefillMsPerToken[model]
@@ -108,7 +110,7 @@
 		q = &quantile{value: initialPrefillMsPerToken, count: 1}
 		p.prefillMsPerToken[model] = q
 	}
-	q.observe(prefillQuantile, max(float64(took-FirstEventOverheadMs)/float64(promptTokens), minObservation))
+	q.observe(prefillQuantile, max(float64(took-FirstEventOverheadMs)/float64(missing), minObservation))
 }
 
 const (
--- a/internal/kctable/deployment.go
+++ b/internal/kctable/deployment.go
@@ -28,8 +28,8 @@
 	MaxDescriptors int
 	// LinkMbps is the bandwidth of the machine in Mbit/s, 0 if unknown.
 	LinkMbps int
-	// Overload enables admission under overload and the bound on the memory of
-	// upstreams.
+	// Overload enables admission under overload, the bound on the memory of
+	// upstreams, and the weighing of cached prompts.
 	Overload bool
 	Bounds   Bounds
 }
