--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -229,12 +229,7 @@
 		x.g.Admission.Release(x.service)
 	}
 	if x.meta.PromptTokens > 0 && !head.NotRun && resp.StatusCode == http.StatusOK {
-		elapsedMs := x.g.Clock.Now() - now
-		if n := x.meta.PromptTokens; n >= kclatency.MinPrefillTokens {
-			perToken := max(float64(elapsedMs-kclatency.FirstEventOverheadMs), 0) / float64(n)
-			x.classifyLatency(c, "read/"+model, perToken, kclatency.EngineSlowFactor)
-		}
-		x.g.firstEvents.Observe(model, x.meta.PromptTokens, c.held.HeldTokens, elapsedMs)
+		x.recordFirstEvent(c, model, x.g.Clock.Now()-now)
 	}
 	if head.HasConfidence {
 		x.attempts[last].confidence = head.Confidence
@@ -265,6 +260,15 @@
 	return x.forwardResponse(ctx, c, resp, finish)
 }
 
+// recordFirstEvent records the time to the first event of a response to a prompt.
+func (x *exchange) recordFirstEvent(c *pickedUpstream, model string, elapsedMs kcclock.Millis) {
+	if n := x.meta.PromptTokens; n >= kclatency.MinPrefillTokens {
+		perToken := max(float64(elapsedMs-kclatency.FirstEventOverheadMs), 0) / float64(n)
+		x.classifyLatency(c, "read/"+model, perToken, kclatency.EngineSlowFactor)
+	}
+	x.g.firstEvents.Observe(model, x.meta.PromptTokens, c.held.HeldTokens, elapsedMs)
+}
+
 // decodeResponse decodes the headers of a response and records what they say of the
 // upstream.
 func (x *exchange) decodeResponse(c *pickedUpstream, resp *kcconn.Response) ResponseMeta {
--- a/internal/kcgate/evacuation_test.go
+++ b/internal/kcgate/evacuation_test.go
@@ -28,7 +28,8 @@
 		got := make(map[string]int)
 		for i := range 60 {
 			w.prompt = kcprefix.Prompt{
-				Tokens: 100, MsPerToken: 0.1, Affinity: uint64(i), Parts: []PromptPart{{ID: fmt.Sprint(i), Tokens: 90}, {ID: "q", Tokens: 10}},
+				Tokens: 100, MsPerToken: 0.1, Affinity: uint64(i),
+				Parts: []PromptPart{{ID: fmt.Sprint(i), Tokens: 90}, {ID: "q", Tokens: 10}},
 			}
 			if c, ok := l.pick(w); ok {
 				got[c.Zone]++
--- a/internal/kcgate/unchanged_test.go
+++ b/internal/kcgate/unchanged_test.go
@@ -36,7 +36,8 @@
 		w := pickCriteria{service: "s", allowsVersion: func(string) bool { return true }, holdMs: 100}
 		if i%2 == 0 {
 			w.prompt = kcprefix.Prompt{
-				Tokens: 2000, MsPerToken: 0.01, Affinity: uint64(i%9) + 1, Parts: []PromptPart{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 1000}},
+				Tokens: 2000, MsPerToken: 0.01, Affinity: uint64(i%9) + 1,
+				Parts: []PromptPart{{ID: "p", Tokens: 1000}, {ID: "q", Tokens: 1000}},
 			}
 		}
 		if c, ok := l.pick(w); ok {
