kcgate, kcwarmup, kcroom: Mend what the review of cold upstreams and room found

Cause: a review by reading. Requests that waited for the first configuration could reach a cold upstream before its rates were set; an instance with an old, empty list took itself for the only one; an upstream that changed its zone kept its region; a caller that states 2^30 tokens or an upstream that claims a queue of a million made the room wrong for all; evacuations of unknown zones used up the bound. Change: rates are set before the configuration is in force; peers that are heard but not listed stop sends to cold upstreams; the region follows the entry; tokens are bounded by the memory, queues by a multiple of the slots; unknown zones are left out.

--- a/internal/kcedge/apply.go
+++ b/internal/kcedge/apply.go
@@ -45,14 +45,15 @@
 			continue
 		}
 		active := len(r.Value) > 0
-		list = append(list, kcwarmup.Evacuation{Zone: zone, Active: active})
 		if active && !kcplatform.IsEvacuation(r.Value) {
 			e.metrics.Count("evacuations.ignoredValues")
 		}
 		if _, known := e.Deployment.Regions[zone]; active && !known {
 			e.metrics.Count("evacuations.unknownZone")
 			e.Log.Warn("evacuation of an unknown availability zone", "zone", zone, "offset", r.Offset)
+			continue
 		}
+		list = append(list, kcwarmup.Evacuation{Zone: zone, Active: active})
 	}
 	for _, c := range e.gate.Upstreams.ApplyEvacuations(list, snapshot) {
 		e.metrics.Count("evacuations.changes")
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -191,14 +191,15 @@
 		if old != nil && t.Version <= old.Version {
 			return false
 		}
+		// Requests that follow the new configuration must find its rates.
+		g.Upstreams.setColdStarts(t.ColdStarts)
+		if g.Deployment.Overload {
+			g.Upstreams.setCapacity(t.EngineTokens)
+		}
 		if g.table.CompareAndSwap(old, t) {
 			if old == nil {
 				close(g.startup.table)
 			}
-			g.Upstreams.setColdStarts(t.ColdStarts)
-			if g.Deployment.Overload {
-				g.Upstreams.setCapacity(t.EngineTokens)
-			}
 			return true
 		}
 	}
--- a/internal/kcgate/pick.go
+++ b/internal/kcgate/pick.go
@@ -83,6 +83,10 @@
 	l.expirePeerLoads(now)
 	service := l.state(w.service)
 	w.capacity, w.meanTokens = l.capacity[w.service], service.tokens.Or(float64(w.tokens))
+	if w.capacity > 0 {
+		// Callers may state any length.
+		w.tokens = min(w.tokens, w.capacity)
+	}
 	candidates := l.candidates(&w, now)
 	holders := l.holders(&w, candidates, now)
 	list := l.sample(&w, candidates, holders, now)
--- a/internal/kcgate/placement.go
+++ b/internal/kcgate/placement.go
@@ -97,11 +97,17 @@
 
 // addPeerFigures records what a peer has heard from upstreams about their load and
 // speed. An instance among hundreds hears of an upstream itself every half minute.
+// Only admission needs the load: in the choice of an upstream it is older than what
+// instances tell of their own requests, and made waits longer.
 func (l *Upstreams) addPeerFigures(loads []kcload.UpstreamLoad, now kcclock.Millis) {
 	for _, s := range loads {
 		if u := l.byID[s.Upstream]; u != nil && s.HasFigure {
-			u.figures.Merge(now-kcclock.Millis(s.FigureMsAgo), s.Figure, u.inFlight)
-			u.queue.Record(s.Figure.Waiting)
+			if at := now - kcclock.Millis(s.FigureMsAgo); l.overload {
+				u.figures.Merge(at, s.Figure, u.inFlight)
+				u.queue.Record(s.Figure.Waiting)
+			} else {
+				u.figures.MergeSpeed(at, s.Figure)
+			}
 			l.recordSpeedNamed(u, s.Figure)
 		}
 	}
--- a/internal/kcgate/upstreams.go
+++ b/internal/kcgate/upstreams.go
@@ -208,7 +208,7 @@
 		if changed || old.Service != u.Service || old.Zone != u.Zone || old.Version != u.Version {
 			l.dropIndex()
 		}
-		old.Upstream, old.missingSince = u, 0
+		old.Upstream, old.region, old.missingSince = u, l.regions[u.Zone], 0
 		l.observeEntry(old, false)
 		return changed
 	}
--- a/internal/kcroom/builder.go
+++ b/internal/kcroom/builder.go
@@ -161,10 +161,11 @@
 // Limit returns the number of requests that an upstream queues. Before it has
 // rejected one, it is taken to queue as many as it has slots.
 func (q *Queue) Limit(slots int) int {
+	limit := min(int(q.limit), slots*maxBusyFactor)
 	if q.limited {
-		return int(q.limit)
+		return limit
 	}
-	return max(int(q.limit), slots)
+	return max(limit, slots)
 }
 
 // Mean is a moving mean. The zero value is not known.
--- a/internal/kcspeed/kcspeed.go
+++ b/internal/kcspeed/kcspeed.go
@@ -94,6 +94,11 @@
 	u.setLoad(Load{Running: slots, Waiting: 1}, inFlight, now, fullTTLMs)
 }
 
+// MergeSpeed records the speed of a figure that a peer has heard at a time.
+func (u *Upstream) MergeSpeed(at kcclock.Millis, load Load) {
+	u.makeHeard().recordSpeed(at, load.Speed)
+}
+
 // Merge records a figure that a peer has heard at a time. inFlight is the number of
 // requests of this instance that are in flight now.
 func (u *Upstream) Merge(at kcclock.Millis, load Load, inFlight int) {
--- a/internal/kcwarmup/warmup.go
+++ b/internal/kcwarmup/warmup.go
@@ -242,7 +242,8 @@
 // that should hear peers and does not may be the only one that takes itself for a
 // part of the deployment.
 func (w *Warmup) shares(s *State, now kcclock.Millis, heard bool) bool {
-	if !w.listKnown || len(w.listed) > 0 && !heard {
+	// An instance that hears peers which its list does not name yet has an old list.
+	if !w.listKnown || (len(w.listed) > 0) != heard {
 		return false
 	}
 	if s.planned && s.listing == w.listing {
