kcadmit, kcledger: Mend what the review of admission and memory found

Cause: a review by reading. The time that one slow upload had left became the latency objective of the whole service and held requests in calm; requests without any upstream counted as rejections and slowed all others down; one request without a prompt made an engine service a plain one; requests that only another region may run were held for the room of this one; idle workspaces stayed in the queues. One connection at a time was replaced when all were taken, and an answer of 512 KiB that a caller read steadily looked unread. Change: the objective is that of the route; only rejections count; the kind of a service stays; such requests pass; workspaces are trimmed; a sixteenth of the connections may be ending; answers are written in pieces of 32 KiB. Result: tests of kcadmit, kcledger and kcgate pass.

--- a/internal/kcadmit/controller.go
+++ b/internal/kcadmit/controller.go
@@ -4,6 +4,7 @@
 package kcadmit
 
 import (
+	"cmp"
 	"math"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcqueue"
@@ -84,6 +85,9 @@
 	// ObjectiveAt is the time by which the request has its full value, DeadlineAt
 	// the time after which a response has none.
 	ObjectiveAt, DeadlineAt kcclock.Millis
+	// ObjectiveMs is the latency objective of the kind, negative if it has none. 0
+	// means the time until ObjectiveAt.
+	ObjectiveMs kcclock.Millis
 	// PatienceUntil is the caller's own deadline, which can be after DeadlineAt. 0
 	// means DeadlineAt.
 	PatienceUntil kcclock.Millis
@@ -239,13 +243,15 @@
 	if r.Again {
 		c.rejected()
 	}
-	c.prompts = r.Prompt
+	// One request without a prompt does not make the service a plain one.
+	c.prompts = c.prompts || r.Prompt
 	l := c.lanes.lane(now, &r)
 	if !r.Again {
-		l.kind.arrive(now, float64(r.ObjectiveAt-now))
+		l.kind.arrive(now, float64(max(cmp.Or(r.ObjectiveMs, r.ObjectiveAt-now), 0)))
 	}
 	if c.objective == 0 || now-c.objectiveAt >= recountMs {
 		c.objective, c.objectiveAt = c.lanes.leastObjective(now), now
+		c.lanes.trimWorkspaces()
 	}
 	c.update(now, room)
 	c.usage.add(now, r.Workspace, r.CostMs)
@@ -289,7 +295,7 @@
 // rejected records that an upstream had no room for an admitted request. It corrects
 // figures that are late or false.
 func (c *Controller) rejected() {
-	c.rejections += 1 / rejectionWindow
+	c.rejections = min(c.rejections+1/rejectionWindow, 1)
 	c.share = max(c.share*(1-1/rejectionWindow), minShare)
 }
 
@@ -357,7 +363,7 @@
 	width, known := c.intendedQueue()
 	c.stale = !known
 	if !known {
-		c.pressure, c.pace, c.tokens = 0, maxPace, 0
+		c.pressure, c.pace, c.tokens, c.rejections = 0, maxPace, 0, 0
 		return
 	}
 	c.pressure = c.pressureOf(width)
--- a/internal/kcadmit/lanes.go
+++ b/internal/kcadmit/lanes.go
@@ -154,6 +154,14 @@
 	return least
 }
 
+// trimWorkspaces removes workspaces whose past use no longer affects the order.
+func (s *laneSet) trimWorkspaces() {
+	for _, l := range s.list {
+		l.queues[0].TrimIdleWorkspaces()
+		l.queues[1].TrimIdleWorkspaces()
+	}
+}
+
 // trim removes lanes that are not in use.
 func (s *laneSet) trim(now kcclock.Millis) {
 	s.list = slices.DeleteFunc(s.list, func(l *lane) bool {
--- a/internal/kcgate/admission.go
+++ b/internal/kcgate/admission.go
@@ -30,7 +30,8 @@
 func (x *exchange) awaitAdmission(ctx context.Context, model string, tried kcset.Set[string], again bool) bool {
 	// A request that may have run is not held: a refusal after the wait would have to
 	// promise that it has not.
-	if x.g.Admission == nil || x.attempts.mayHaveRun() {
+	// One that only other regions may run does not compete for the room of this one.
+	if x.g.Admission == nil || x.attempts.mayHaveRun() || !x.regions.Allow(x.g.Upstreams.region) {
 		return true
 	}
 	t := x.g.Admission.Await(ctx, x.service, x.meta.ID, x.admissionRequest(model, again))
@@ -55,15 +56,17 @@
 	return kcadmit.Request{
 		Workspace: x.workspace, Kind: x.route.Name, Urgency: x.rank, Prompt: p.Tokens > 0,
 		CostMs:      p.MsPerToken * float64(p.Tokens),
+		ObjectiveMs: cmp.Or(x.route.LatencyObjectiveMs, -1),
 		ObjectiveAt: x.receivedAt + cmp.Or(x.route.LatencyObjectiveMs, x.deadline-x.receivedAt), DeadlineAt: x.deadline,
 		PatienceUntil: x.receivedAt + x.meta.CallerTimeoutMs, Bytes: int64(len(x.body)), Again: again,
 	}
 }
 
 // fullRetryAfter returns when the caller should return if all upstreams are full.
-func (x *exchange) fullRetryAfter() kcclock.Millis {
+// rejected is true if an upstream has just said so.
+func (x *exchange) fullRetryAfter(rejected bool) kcclock.Millis {
 	if x.g.Admission == nil {
 		return upstreamsFullRetryMs
 	}
-	return x.g.Admission.RetryAfter(x.service, x.admissionRequest(x.meta.Model, true))
+	return x.g.Admission.RetryAfter(x.service, x.admissionRequest(x.meta.Model, rejected))
 }
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -94,7 +94,7 @@
 			}
 			anyFull = true
 			if !x.g.takeRetry(x.service) {
-				x.fail(ctx, reasonUpstreamsFull, x.fullRetryAfter())
+				x.fail(ctx, reasonUpstreamsFull, x.fullRetryAfter(true))
 				return
 			}
 			if !x.awaitAdmission(ctx, model, tried, true) {
@@ -123,9 +123,9 @@
 	case cold > 0:
 		x.fail(ctx, reasonUpstreamsCold, cold)
 	case anyFull:
-		x.fail(ctx, reasonUpstreamsFull, x.fullRetryAfter())
+		x.fail(ctx, reasonUpstreamsFull, x.fullRetryAfter(false))
 	default:
-		x.fail(ctx, reasonNoUpstream, x.fullRetryAfter())
+		x.fail(ctx, reasonNoUpstream, x.fullRetryAfter(false))
 	}
 }
 
--- a/internal/kcledger/book.go
+++ b/internal/kcledger/book.go
@@ -30,6 +30,10 @@
 	smallBytes = 128 << 10
 	// smallShare is the share of the ledger that is kept for small requests.
 	smallShare = 8
+	// endingShare is the part of the connections, one in so many, that may be ending
+	// at the same time. The server waits half a second for the rest of a body before it
+	// closes a connection.
+	endingShare = 16
 )
 
 // verdict is the answer to a request for bytes.
@@ -99,7 +103,7 @@
 		b.used += b.connBytes
 		return a, nil
 	}
-	if b.endingConns > 0 {
+	if b.endingConns >= max(b.maxConns/endingShare, 1) {
 		return nil, nil
 	}
 	if victim = b.longestSilent(now); victim != nil {
--- a/internal/kcledger/ledger.go
+++ b/internal/kcledger/ledger.go
@@ -28,6 +28,9 @@
 	headerFactor = 8
 	// firstBufferBytes is the size of the buffer that a body is first read into.
 	firstBufferBytes = 4 << 10
+	// maxWritePiece is the part of an answer that is written at once. A caller that
+	// takes longer than stuckMs for it reads less than 16 KB a second.
+	maxWritePiece = 32 << 10
 	// waitMs is how long a caller that the ledger has no room for waits, so that a
 	// short burst refuses nobody. It is twice the time after which others count as
 	// slow.
@@ -421,9 +424,9 @@
 	l.mu.Lock()
 	extra := max(int64(len(p))-a.held, 0)
 	l.book.keep(a, extra)
-	a.writing, a.writeAt = true, l.opts.Clock.Now()
+	a.writing = true
 	l.mu.Unlock()
-	n, err := c.Conn.Write(p)
+	n, err := c.writePieces(p)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a.writing = false
@@ -432,6 +435,20 @@
 	return n, err
 }
 
+// writePieces writes in pieces, so that a caller that reads a long answer slowly but
+// steadily does not look like one that does not read.
+func (c *conn) writePieces(p []byte) (written int, err error) {
+	for more := true; more; more = written < len(p) && err == nil {
+		c.l.mu.Lock()
+		c.a.writeAt = c.l.opts.Clock.Now()
+		c.l.mu.Unlock()
+		var n int
+		n, err = c.Conn.Write(p[written:min(written+maxWritePiece, len(p))])
+		written += n
+	}
+	return written, err
+}
+
 // SetWriteDeadline sets the deadline of writes unless they have been ended.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
