--- a/internal/kcadmit/controller_test.go
+++ b/internal/kcadmit/controller_test.go
@@ -97,7 +97,7 @@
 // Guards against one workspace that takes the capacity of the others.
 func TestHotWorkspaceIsLimitedFirst(t *testing.T) {
 	t.Parallel()
-	with, without := playBoth(t, loadNamed(t, "one workspace at seven times its rate"), 1)
+	with, without := playBoth(t, loadNamed(t, "one workspace at twelve times its rate"), 1)
 	a, b := with.by(byWorkspace), without.by(byWorkspace)
 	hot := fmt.Sprint("w", with.Bursts[0].Workspace)
 	for name, r := range a {
