--- a/internal/kcadmit/untrusted_test.go
+++ b/internal/kcadmit/untrusted_test.go
@@ -12,9 +12,9 @@
 	Upstreams: 100, Slots: 1600, Busy: 400, Free: 1200, Queueable: 3000, HoldMs: 2000, PrefillMs: 96, AgeMs: 100,
 }
 
-func promptRequest(objectiveMs, left int) Request {
+func promptRequest(left int) Request {
 	r := Request{Workspace: "w", Kind: "plan", CostMs: 96, Prompt: true, DeadlineAt: 21_000}
-	r.ObjectiveMs = kcclock.Millis(objectiveMs)
+	r.ObjectiveMs = 2000
 	r.ObjectiveAt = kcclock.Millis(1000 + left)
 	return r
 }
@@ -24,9 +24,9 @@
 func TestSlowUploadDoesNotShortenObjective(t *testing.T) {
 	c := New(Options{})
 	c.SetSenders(40)
-	c.Enter(1000, promptRequest(2000, 10), idleEngines)
+	c.Enter(1000, promptRequest(10), idleEngines)
 	for range 50 {
-		if x := c.Enter(1001, promptRequest(2000, 2000), idleEngines); x.Decision != Admitted || x.Reason != ReasonCalm {
+		if x := c.Enter(1001, promptRequest(2000), idleEngines); x.Decision != Admitted || x.Reason != ReasonCalm {
 			t.Fatalf("%v, %s, pressure %v", x.Decision, x.Reason, x.Pressure)
 		}
 	}
@@ -39,9 +39,9 @@
 	c.SetSenders(40)
 	busy := idleEngines
 	busy.PrefillMs = 4000
-	c.Enter(1000, promptRequest(2000, 2000), busy)
+	c.Enter(1000, promptRequest(2000), busy)
 	before := c.Pressure()
-	r := promptRequest(2000, 2000)
+	r := promptRequest(2000)
 	r.Prompt = false
 	c.Enter(1001, r, busy)
 	if after := c.Pressure(); before < 1 || after < before {
@@ -54,7 +54,7 @@
 func TestRejectionsEndWithOutage(t *testing.T) {
 	c := New(Options{})
 	c.SetSenders(40)
-	r := promptRequest(2000, 2000)
+	r := promptRequest(2000)
 	for range 100 {
 		c.Enter(1000, r, kcroom.Room{})
 		again := r
