kcconn: Do not take a reset for the end of a response without framing

What callers saw: an upstream answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete response. A stream got its first events and a clean end.

Cause: the write of the request takes the error of the socket. The reads after it return what has arrived and then a clean end of the connection, which is how a response without framing ends. The upstream lives, so the check for an ended upstream finds nothing.

Change: if the write of a request failed, the end of a body without framing is an error. Such a body cannot be told from a part of it, so a whole one is rejected as well; the caller gets 502, which promises nothing. Responses with a length or chunks show their end and are accepted as before.

--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -110,6 +110,9 @@
 			return fail(err)
 		}
 		resp.Close = true
+		if !isFramed(resp) {
+			resp.Body = brokenOffBody{resp.Body, err}
+		}
 		return newResponse(resp), nil
 	}
 	resp, err := p.readResponse(c, req) //nolint:bodyclose // Finish or Abort ends it
@@ -189,7 +192,28 @@
 
 // Framed reports whether the body has a length or is sent in chunks. Otherwise it
 // ends when the connection closes, and its end does not show that it is complete.
-func (r *Response) Framed() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+func (r *Response) Framed() bool { return isFramed(r.Response) }
+
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// brokenOffBody is the body of a response without framing on a connection that broke
+// while the request was written. The failed write has taken the error of the socket, so
+// reads end as if the server had closed the connection after the whole body.
+type brokenOffBody struct {
+	io.ReadCloser
+	writeErr error
+}
+
+// Read returns an error in place of io.EOF.
+func (b brokenOffBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errs.New("the response without framing may be incomplete: %v", b.writeErr)
+	}
+	return n, err
+}
 
 // Abort closes the connection, which cancels the request at the server.
 func (r *Response) Abort() {
--- a/internal/kcgate/harness_test.go
+++ b/internal/kcgate/harness_test.go
@@ -27,6 +27,8 @@
 	// answer writes the response to request n, counted from 0. The connection is
 	// closed if it returns false.
 	answer func(n int, req *http.Request, body string, w net.Conn) bool
+	// onRequest, if set, is called at each request before its answer.
+	onRequest func()
 
 	mu       sync.Mutex
 	received []*http.Request
@@ -70,6 +72,9 @@
 		n := len(e.received)
 		e.received = append(e.received, req)
 		e.mu.Unlock()
+		if e.onRequest != nil {
+			e.onRequest()
+		}
 		if !e.answer(n, req, string(body), c) {
 			return
 		}
@@ -184,14 +189,11 @@
 		table.AddRoute(&routes[i])
 	}
 	f.gate.SetTable(table)
-	var ups []kctable.Upstream
-	for i, e := range engines {
-		ups = append(ups, kctable.Upstream{
-			ID: "e" + itoa(i), Service: "svc", Address: e.ln.Addr().String(), Zone: "z", Version: "v1", Slots: 4,
-			StartedAtMs: int64(i + 1),
-		})
+	var addrs []string
+	for _, e := range engines {
+		addrs = append(addrs, e.ln.Addr().String())
 	}
-	f.gate.Upstreams.Replace(ups, 0)
+	f.listUpstreams(addrs...)
 	f.gate.Rollouts.MarkStatesLoaded()
 	f.gate.Quarantine.MarkSynced()
 	f.host = "h.example"
@@ -199,6 +201,17 @@
 	return f
 }
 
+// listUpstreams lists an upstream of the service for each address. They are named e0, e1, ...
+func (f *fixture) listUpstreams(addrs ...string) {
+	var ups []kctable.Upstream
+	for i, addr := range addrs {
+		ups = append(ups, kctable.Upstream{
+			ID: "e" + itoa(i), Service: "svc", Address: addr, Zone: "z", Version: "v1", Slots: 4, StartedAtMs: int64(i + 1),
+		})
+	}
+	f.gate.Upstreams.Replace(ups, 0)
+}
+
 // serve directs the requests of the fixture to a gateway.
 func (f *fixture) serve(t *testing.T, gate *kcgate.Gateway) {
 	t.Helper()
