kcconn: Reject responses whose status is not one of HTTP

What callers saw: an upstream in trouble sent a response with the status 000 and, behind it on the connection, another one. The caller got the second one. By itself, 000 was skipped and the request failed. A status of 600 to 999 was passed on.

Cause: every status below 200 was taken for an interim response, which another one follows. Only 100 to 199 are interim (RFC 9110, section 15), and 101 only if the request asks for another protocol, which none does: what follows a 101 is not HTTP. net/http parses any number of three characters, '+20' too.

Change: kcresponse.CheckHead rejects 101 and what is outside 100 to 599, in interim and in final responses. RFC 9110 asks clients to treat an invalid status as an error of the server. 100, 103 and 199 before a final response are skipped as before.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -104,7 +105,8 @@
 }
 
 // readResponseHeader reads the next response up to its body. It skips interim
-// (1xx) responses, which count toward the limit on the header.
+// (1xx) responses, which count toward the limit on the header. A head that breaks
+// HTTP is an error: what follows it on the connection belongs to no request.
 func (c *conn) readResponseHeader(method string) (*http.Response, error) {
 	c.headerLimit.remaining = maxHeaderBytes
 	defer func() { c.headerLimit.remaining = -1 }()
@@ -113,7 +115,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if err := kcresponse.CheckHead(resp); err != nil {
+			return nil, err
+		}
+		if !kcresponse.IsInterim(resp) {
 			return resp, nil
 		}
 	}
--- /dev/null
+++ b/internal/kcresponse/head.go
@@ -0,0 +1,34 @@
+// Package kcresponse tells sound responses of servers from broken ones: by their
+// heads, and by the ends of bodies without framing.
+package kcresponse
+
+import (
+	"net/http"
+
+	"github.com/zeebo/errs"
+)
+
+const (
+	// minStatus and maxStatus are the limits of status codes in RFC 9110, section 15.
+	minStatus = 100
+	maxStatus = 599
+)
+
+// IsInterim reports whether another response to the same request follows a response.
+// The server must not switch protocols (101) unless the request asks for it, and none
+// does, so that CheckHead rejects that status.
+func IsInterim(resp *http.Response) bool {
+	return resp.StatusCode >= minStatus && resp.StatusCode < http.StatusOK
+}
+
+// CheckHead returns an error if the head of a response, interim or final, breaks HTTP in
+// a way that net/http accepts.
+func CheckHead(resp *http.Response) error {
+	switch {
+	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+		return errs.New("the response has the invalid status %q", resp.Status)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return errs.New("the response switches protocols, which the request has not asked for")
+	}
+	return nil
+}
