kcconn: Reject responses whose field names are not valid

What callers saw: an upstream in trouble sent a response in whose head the name of a field held a blank. The caller got it, with that line passed on, or with a body that was not that of the upstream: 'Content-Length : 24' is no length, so that the body went on to the end of the connection, and after 'Transfer-Encoding : chunked' the caller got the sizes of the chunks as text.

Cause: net/http accepts blanks in the names of fields when it reads a response and leaves such names as they are.

Change: CheckHead requires a token for each name, with httpguts of golang.org/x/net, the code that net/http has for what it sends. Names with every character of a token pass.

--- a/internal/kcresponse/head.go
+++ b/internal/kcresponse/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -30,5 +31,11 @@
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return errs.New("the response switches protocols, which the request has not asked for")
 	}
+	for name := range resp.Header {
+		// net/http accepts blanks. A field such as "Content-Length " is then no length.
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errs.New("the name %q of a field of the response is not valid", name)
+		}
+	}
 	return nil
 }
