kcupstream: Reject responses whose heads break HTTP

A service whose status was 600 or 999, or whose head held a blank in the name of a field, was passed on; blanks in the names of the length or the transfer encoding changed the body. Status 000 to 099 and 101 counted as a complete response: the request was settled as executed and the response could not be written, since net/http allows no such status. In streams, heads with a blank were taken.

Cause: net/http returns such heads. It also returns 101 with the connection as its body.

Change: kcresponse.Transport checks the heads of interim and final responses and returns an error in place of a broken one. Heads are limited to 64 KiB as in kcconn; the limit of net/http is 10 MB for each connection. Interim responses are limited by their sum, because net/http limits each once they are looked at.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	// maxHeaderBytes limits the status line and the headers of a response. It is
-	// four times the limit that servers usually set for requests.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes limits the status line and the headers of a response.
+	maxHeaderBytes = kcresponse.MaxHeaderBytes
 	// readBufferBytes is enough for a typical response header or a few events.
 	readBufferBytes = 4 << 10
 )
--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -110,7 +111,7 @@
 			return fail(err)
 		}
 		resp.Close = true
-		if !isFramed(resp) {
+		if !kcresponse.IsFramed(resp) {
 			resp.Body = brokenOffBody{resp.Body, err}
 		}
 		return newResponse(resp), nil
@@ -192,11 +193,7 @@
 
 // Framed reports whether the body has a length or is sent in chunks. Otherwise it
 // ends when the connection closes, and its end does not show that it is complete.
-func (r *Response) Framed() bool { return isFramed(r.Response) }
-
-func isFramed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
+func (r *Response) Framed() bool { return kcresponse.IsFramed(r.Response) }
 
 // brokenOffBody is the body of a response without framing on a connection that broke
 // while the request was written. The failed write has taken the error of the socket, so
--- a/internal/kcfault/cases.go
+++ b/internal/kcfault/cases.go
@@ -33,6 +33,9 @@
 	// Sound is true if the response is complete and correct, so that it must be
 	// accepted.
 	Sound bool
+	// Whole is true if the whole body arrives although its framing is broken. Readers
+	// of bodies with an end of their own may accept it.
+	Whole bool
 	// Early responses are sent while the client still writes its request, of which
 	// the server reads no more. Only the upload of a body of UploadBytes blocks.
 	Early bool
@@ -70,6 +73,8 @@
 		case "":
 		case "sound":
 			c.Sound = true
+		case "whole":
+			c.Whole = true
 		case "early":
 			c.Early = true
 		case "end":
--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -141,8 +142,8 @@
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
-	c.pooled = &http.Client{Transport: pooled, CheckRedirect: noRedirect}
-	c.unpooled = &http.Client{Transport: unpooled, CheckRedirect: noRedirect}
+	c.pooled = &http.Client{Transport: kcresponse.NewTransport(pooled), CheckRedirect: noRedirect}
+	c.unpooled = &http.Client{Transport: kcresponse.NewTransport(unpooled), CheckRedirect: noRedirect}
 	return c
 }
 
@@ -246,8 +247,7 @@
 		}
 	}
 	res := c.readResponse(t, call, resp)
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !framed && res.Err == nil && c.hasEnded(callerCtx, t.Addr) {
+	if !kcresponse.IsFramed(resp) && res.Err == nil && c.hasEnded(callerCtx, t.Addr) {
 		res.Body, res.Err = nil, errs.New("%s has ended with a response without framing", t.ID)
 	}
 	return res
