commands, kcinstance, kcpeer: Check the heads of all responses

What was found while going through what else reads responses: the clients of peers, of the log, the list and the rating service and of the command line took heads with a blank in the name of a field; 'status' and 'explain' printed what followed a status of 000 to 099, 101 and 600 to 999.

Cause: they use the transport of net/http as it is.

Change: they use kcresponse.Transport.

--- a/internal/commands/bills.go
+++ b/internal/commands/bills.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcbill"
 	"github.com/kingcuprail/kingcuprail/internal/kcclaim"
 	"github.com/kingcuprail/kingcuprail/internal/kcjob"
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/internal/kcsettings"
 	"github.com/kingcuprail/kingcuprail/pkg/kcapi"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -57,7 +58,8 @@
 	if set.Platform.Log == "" {
 		return errs.New("no log to read; name it with --settings FILE or --log URL")
 	}
-	log := &kclog.Client{BaseURL: set.Platform.Log, HTTP: &http.Client{}}
+	transport := kcresponse.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})
+	log := &kclog.Client{BaseURL: set.Platform.Log, HTTP: &http.Client{Transport: transport}}
 	report, err := c.buildReport(e.ctx, log, set.Timing.Shards)
 	if err != nil {
 		return errs.New("cannot read the bills: %v", err)
--- a/internal/commands/configpublish.go
+++ b/internal/commands/configpublish.go
@@ -20,6 +20,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcpeer"
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/internal/kcsettings"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 	"github.com/kingcuprail/kingcuprail/pkg/kclog"
@@ -68,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, nil
+	return &http.Client{Transport: kcresponse.NewTransport(&http.Transport{TLSClientConfig: config})}, nil
 }
 
 func (s siteFlags) newPublisher(ctx context.Context, note string) (*kcconfig.Publisher, kcsettings.Settings, error) {
--- a/internal/commands/serve.go
+++ b/internal/commands/serve.go
@@ -7,6 +7,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcinstance"
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/internal/kcsession"
 	"github.com/kingcuprail/kingcuprail/internal/kcsettings"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -32,9 +33,9 @@
 	// Each platform service has its own client, so that its traffic is counted
 	// separately.
 	newClient := func(name string) *http.Client {
-		return &http.Client{Transport: &http.Transport{
+		return &http.Client{Transport: kcresponse.NewTransport(&http.Transport{
 			TLSClientConfig: platformTLS, MaxIdleConnsPerHost: 16, DialContext: registry.Traffic(name).Dial,
-		}}
+		})}
 	}
 	inst, err := kcinstance.New(kcinstance.Options{
 		ForceStop: e.forceStop,
--- a/internal/kcfault/server.go
+++ b/internal/kcfault/server.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -26,9 +25,11 @@
 	// UploadBytes is the size of a request body that does not fit into the buffers of
 	// the kernel.
 	UploadBytes = 4000 << 10
-	// lifetime ends connections whose client never closes them, so that a failing
-	// test ends.
-	lifetime = 30 * time.Second
+	// maxFloodBytes ends a flood with a reset, so that a test whose client keeps all of
+	// it fails within the memory of the machine.
+	maxFloodBytes = 256 << 20
+	// floodBytes is the size of one write of a flood.
+	floodBytes = 16 << 10
 )
 
 // Server responds to each request with the response of a case.
@@ -43,15 +44,19 @@
 	// header holds further lines of the head of a sound response.
 	header string
 
-	requests atomic.Int64
-	conns    sync.WaitGroup
+	requests, flooded atomic.Int64
+
+	mu sync.Mutex
+	// conns are the open connections. It is nil once the server has ended.
+	conns   map[net.Conn]struct{}
+	running sync.WaitGroup
 }
 
 // NewServer starts a server that runs until the end of the test. header holds the
 // lines that the head of a sound response needs, body is its body.
 func NewServer(tb testing.TB, c Case, header, body string) *Server {
 	tb.Helper()
-	s := &Server{Case: c, header: header, body: body}
+	s := &Server{Case: c, header: header, body: body, conns: make(map[net.Conn]struct{})}
 	cfg := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var setErr error
 		err := raw.Control(func(fd uintptr) {
@@ -67,26 +72,59 @@
 		tb.Fatal(err)
 	}
 	s.Addr = ln.Addr().String()
-	s.conns.Go(func() {
+	s.running.Go(func() {
 		for {
 			nc, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			s.conns.Go(func() { s.serve(nc) })
+			if s.add(nc) {
+				s.running.Go(func() { s.serve(nc) })
+			}
 		}
 	})
-	tb.Cleanup(func() { _ = ln.Close(); s.conns.Wait() })
+	tb.Cleanup(func() { _ = ln.Close(); s.closeConns(); s.running.Wait() })
 	return s
 }
 
+// add keeps an open connection. It closes the connection and returns false if the
+// server has ended.
+func (s *Server) add(nc net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		_ = nc.Close()
+		return false
+	}
+	s.conns[nc] = struct{}{}
+	return true
+}
+
+func (s *Server) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for nc := range s.conns {
+		_ = nc.Close()
+	}
+	s.conns = nil
+}
+
+func (s *Server) remove(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, nc)
+}
+
 // Requests returns the number of requests that have come.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
+// FloodedBytes returns the number of bytes of all floods that clients have taken.
+func (s *Server) FloodedBytes() int64 { return s.flooded.Load() }
+
 // serve answers the requests of one connection.
 func (s *Server) serve(nc net.Conn) {
+	defer s.remove(nc)
 	defer func() { _ = nc.Close() }()
-	_ = nc.SetDeadline(time.Now().Add(lifetime))
 	br := bufio.NewReader(nc)
 	for {
 		req, err := http.ReadRequest(br)
@@ -114,12 +152,19 @@
 	if _, err := io.WriteString(nc, s.expand(s.Response, req)); err != nil {
 		return false
 	}
-	for flood := strings.Repeat(s.expand(s.Flood, req), 1+floodBytes/max(len(s.Flood), 1)); s.Flood != ""; {
-		if _, err := io.WriteString(nc, flood); err != nil {
-			return false
+	end := s.End
+	if s.Flood != "" {
+		flood := s.expand(s.Flood, req)
+		flood = strings.Repeat(flood, 1+floodBytes/len(flood))
+		for n := 0; n < maxFloodBytes; n += len(flood) {
+			if _, err := io.WriteString(nc, flood); err != nil {
+				return false
+			}
+			s.flooded.Add(int64(len(flood)))
 		}
+		end = Reset
 	}
-	switch s.End {
+	switch end {
 	case Reset:
 		if tcp, ok := nc.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -133,9 +178,6 @@
 	return false
 }
 
-// floodBytes is the size of one write of a flood.
-const floodBytes = 16 << 10
-
 // expand replaces the placeholders in a part of a response.
 func (s *Server) expand(text string, req *http.Request) string {
 	id := req.Header.Get("Request-Id")
--- a/internal/kcinstance/instance.go
+++ b/internal/kcinstance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
 	"github.com/kingcuprail/kingcuprail/internal/kcpeer"
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/internal/kcsession"
 	"github.com/kingcuprail/kingcuprail/internal/kcsettings"
 	"github.com/kingcuprail/kingcuprail/internal/kcupstream"
@@ -103,7 +104,7 @@
 		return nil, err
 	}
 	if opts.RatingClient == nil {
-		opts.RatingClient = &http.Client{Transport: &http.Transport{}}
+		opts.RatingClient = &http.Client{Transport: kcresponse.NewTransport(&http.Transport{})}
 	}
 	metrics := opts.Metrics
 	if metrics == nil {
--- a/internal/kcpeer/node.go
+++ b/internal/kcpeer/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcmetric"
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -83,9 +84,10 @@
 	}
 	unpooledTransport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: opts.TLS, DialContext: dial}
 	return &Node{
-		opts: opts, pooledClient: &http.Client{Transport: pooledTransport}, unpooledClient: &http.Client{Transport: unpooledTransport},
-		rng:          rand.New(rand.NewPCG(opts.Seed, 1)),
-		cooldownEnds: make(map[string]kcclock.Millis), lastCallFailed: kcset.New[string](),
+		opts: opts, pooledClient: &http.Client{Transport: kcresponse.NewTransport(pooledTransport)},
+		unpooledClient: &http.Client{Transport: kcresponse.NewTransport(unpooledTransport)},
+		rng:            rand.New(rand.NewPCG(opts.Seed, 1)),
+		cooldownEnds:   make(map[string]kcclock.Millis), lastCallFailed: kcset.New[string](),
 		foreignLoggedAt: make(map[string]kcclock.Millis),
 	}
 }
