kcpeer: Bound the bodies of responses

What could happen: a peer, or whatever answers at its address, sends a body without end. The instance kept all of it until the call timed out and could run out of memory; the requests of its callers would end with it.

Cause: only compressed bodies were limited. Those over the limit were cut off without an error, so that a part of a message could have been decoded as a whole one.

Change: reads fail after 16 MiB, compressed or not. The handler of messages reads requests in the same way.

--- a/internal/kcpeer/compress.go
+++ b/internal/kcpeer/compress.go
@@ -14,7 +14,7 @@
 	// minCompressBytes is the smallest body that is compressed. For smaller ones the
 	// gzip header outweighs the savings.
 	minCompressBytes = 256
-	// maxBodyBytes limits the size of a decompressed body.
+	// maxBodyBytes limits the size of a body, decompressed or not.
 	maxBodyBytes = 16 << 20
 	encodingGzip = "gzip"
 )
@@ -65,19 +65,19 @@
 }
 
 // decompress returns body decompressed if its Content-Encoding is gzip, and body
-// itself otherwise.
+// itself otherwise. Reads fail after maxBodyBytes.
 func decompress(h http.Header, body io.ReadCloser) (io.ReadCloser, error) {
 	if h.Get("Content-Encoding") != encodingGzip {
-		return body, nil
+		return http.MaxBytesReader(nil, body, maxBodyBytes), nil
 	}
 	r, err := gzip.NewReader(body)
 	if err != nil {
 		return nil, errors.Join(err, body.Close())
 	}
-	return struct {
+	return http.MaxBytesReader(nil, struct {
 		io.Reader
 		io.Closer
-	}{io.LimitReader(r, maxBodyBytes), body}, nil
+	}{r, body}, maxBodyBytes), nil
 }
 
 // compressingWriter compresses a response. The body must be written with a single
