kclog: Bound responses

What could happen: a log service in trouble sends a response without end, such as blanks before a JSON value. The client kept all of it until its timeout of 2 s and could run out of memory.

Cause: the JSON decoder keeps what it has read of a value, and nothing limited it.

What follows a response is read up to 64 KiB, then the connection is closed.

--- a/pkg/kclog/client.go
+++ b/pkg/kclog/client.go
@@ -30,7 +30,15 @@
 	TimeoutMs kcclock.Millis
 }
 
-const defaultTimeoutMs = 2 * kcclock.Second
+const (
+	defaultTimeoutMs = 2 * kcclock.Second
+	// maxResponseBytes bounds a response of the log. It holds more than a hundred of the
+	// largest records; a page of more is read in parts.
+	maxResponseBytes = 8 << 20
+	// maxDrainBytes bounds what is read after a response so that its connection can be
+	// used again.
+	maxDrainBytes = 64 << 10
+)
 
 // do sends req within the timeout. A call that times out may be on a stalled
 // connection. The cancellation closes this connection and do closes the idle
@@ -87,15 +95,27 @@
 	var answer struct {
 		FirstOffset int64 `json:"firstOffset"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+	if err := decode(resp, &answer); err != nil {
 		return 0, fmt.Errorf("%w: stream %s: %w", ErrAnswerLost, stream, err)
 	}
 	return answer.FirstOffset, nil
 }
 
 // Read returns at most limit records of stream, starting at offset from. It
-// waits up to wait milliseconds if there are none yet.
+// waits up to wait milliseconds if there are none yet. It returns fewer records if
+// limit records are too large for one response.
 func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait kcclock.Millis) (Page, error) {
+	for {
+		page, err := c.readPage(ctx, stream, from, limit, wait)
+		var tooLarge *http.MaxBytesError
+		if limit <= 1 || !errors.As(err, &tooLarge) {
+			return page, err
+		}
+		limit /= 2
+	}
+}
+
+func (c *Client) readPage(ctx context.Context, stream string, from int64, limit int, wait kcclock.Millis) (Page, error) {
 	q := url.Values{
 		"from":   {strconv.FormatInt(from, 10)},
 		"max":    {strconv.Itoa(limit)},
@@ -115,7 +135,7 @@
 		return Page{}, fmt.Errorf("%w: stream %s: status %d", ErrUnavailable, stream, resp.StatusCode)
 	}
 	var page Page
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+	if err := decode(resp, &page); err != nil {
 		return Page{}, fmt.Errorf("%w: stream %s: %w", ErrUnavailable, stream, err)
 	}
 	return page, nil
@@ -125,9 +145,14 @@
 	return c.BaseURL + "/v1/streams/" + url.PathEscape(stream) + "/records"
 }
 
-// drainAndClose reads the rest of the body, without which the connection is not
+// decode decodes the JSON body of a response.
+func decode(resp *http.Response, into any) error {
+	return json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxResponseBytes)).Decode(into)
+}
+
+// drainAndClose reads the rest of a small body, without which the connection is not
 // reused, and closes it.
 func drainAndClose(resp *http.Response) {
-	_, _ = io.Copy(io.Discard, resp.Body)
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 	_ = resp.Body.Close()
 }
