commands: Report a response of the admin address that is too large

What operators would see: the first 4 MiB of a response without end, as if it were the whole one.

Change: the command fails and says so.

--- a/internal/commands/adminclient.go
+++ b/internal/commands/adminclient.go
@@ -7,6 +7,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/internal/kctls"
 )
 
@@ -36,13 +37,16 @@
 	if err != nil {
 		return 0, "", errs.New("admin address %q: %v; it must be IP:port", c.Admin, err)
 	}
-	transport := &http.Transport{TLSClientConfig: config}
+	transport := kcresponse.NewTransport(&http.Transport{TLSClientConfig: config})
 	defer transport.CloseIdleConnections()
 	resp, err := (&http.Client{Transport: transport, Timeout: c.Timeout}).Do(req)
 	if err != nil {
 		return 0, "", errs.New("no answer from the admin address %s: %v; is the instance running?", c.Admin, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAdminResponseBytes))
-	return resp.StatusCode, string(body), errs.Wrap(err)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAdminResponseBytes))
+	if err != nil {
+		return 0, "", errs.New("the answer of the admin address %s is not complete: %v", c.Admin, err)
+	}
+	return resp.StatusCode, string(body), nil
 }
