kcconn, kcevent: Charge large heads and events to the ledger of memory

What could happen: upstreams in trouble send bytes without end, in a head or in an event, to many requests at once, before the breaker opens. The instance kept up to 64 KiB of heads, which take eleven times as much once they are parsed, or 1 MiB of an event for each of them. It could run out of memory, and the requests of all callers would end with it.

Cause: the ledger covers what callers make the process hold and whole bodies of responses, but neither heads nor events.

Evidence: 180 callers at once, an upstream that stops just below each limit, settings that give the process 120 MB. A machine with more descriptors has more callers.

Change: heads over 8 KiB and events over 8 KiB are charged to the caller that they are read for and released when they have been passed on. If there is no room within a second, the response counts as broken: the stream is resumed elsewhere or breaks off. Ordinary heads and events are not charged.

--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -32,6 +32,9 @@
 	// MaxConnIdleMs, if set, is the longest time that a reused connection may have
 	// been idle.
 	MaxConnIdleMs kcclock.Millis
+	// Memory, if set, is charged for large headers of the response until it is finished
+	// or aborted. A response whose headers have no room in it is an error.
+	Memory Memory
 }
 
 // Error describes a failed request.
@@ -87,10 +90,12 @@
 			return nil, &Error{DialFailed: true, Err: err}
 		}
 	}
+	c.headerLimit.memory = req.Memory
 	stopCancelWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(err error) (*Response, error) {
 		stopCancelWatch()
 		_ = c.Close()
+		c.headerLimit.release()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -172,6 +177,7 @@
 		return
 	}
 	r.finished = true
+	r.conn.headerLimit.release()
 	stopped := r.stopCancelWatch()
 	r.OnReadTimeout(nil)
 	_ = r.conn.SetReadDeadline(time.Now()) // the read below must not block
@@ -217,6 +223,7 @@
 		return
 	}
 	r.finished = true
+	r.conn.headerLimit.release()
 	r.stopCancelWatch()
 	_ = r.conn.Close()
 }
--- a/internal/kccrowd/edge_test.go
+++ b/internal/kccrowd/edge_test.go
@@ -47,15 +47,22 @@
 {"name":"large","host":"soak.example","path_prefix":"/large/","type":"idempotent","service":"large","timeout_ms":20000,
   "slo_ms":300,"max_attempts":3},
 {"name":"stream","host":"soak.example","path_prefix":"/stream/","type":"streaming","service":"engine","timeout_ms":20000,
-  "slo_ms":2000,"gap_slo_ms":1000,"max_attempts":3,"resumable":true}],
-"services":[{"name":"plain"},{"name":"large"},{"name":"engine"}],
+  "slo_ms":2000,"gap_slo_ms":1000,"max_attempts":3,"resumable":true},
+{"name":"brokenOnce","host":"soak.example","path_prefix":"/broken/once/","type":"nonidempotent","service":"broken",
+  "timeout_ms":4000,"slo_ms":300,"max_attempts":3},
+{"name":"brokenLookup","host":"soak.example","path_prefix":"/broken/lookup/","type":"idempotent","service":"broken",
+  "timeout_ms":4000,"slo_ms":300,"max_attempts":3},
+{"name":"brokenStream","host":"soak.example","path_prefix":"/broken/stream/","type":"streaming","service":"broken",
+  "timeout_ms":4000,"slo_ms":2000,"gap_slo_ms":1000,"max_attempts":3,"resumable":true}],
+"services":[{"name":"plain"},{"name":"large"},{"name":"engine"},{"name":"broken"}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"t","api_keys":["long"]}]}`
 
 var edgeStarted = regexp.MustCompile(`msg=start `)
 
-// startEdge starts an instance with a store and one upstream of each service.
-func startEdge(t *testing.T) *target {
+// startEdge starts an instance with a store and one upstream of each service. The
+// service "broken" has the upstreams at the given addresses.
+func startEdge(t *testing.T, broken ...string) *target {
 	t.Helper()
 	store := kcplatformtest.NewStore(t)
 	for service, fillBytes := range map[string]int{"plain": 0, "large": 400 << 10, "engine": 256 << 10} {
@@ -63,6 +70,10 @@
 		u.SetFaults(kcplatformtest.UpstreamFaults{FillBytes: fillBytes})
 		u.Publish(store, nil)
 	}
+	for n, addr := range broken {
+		u := kcplatformtest.NewUpstream(t, "broken", fmt.Sprintf("u-broken-%d", n), "za", "v1")
+		u.Publish(store, map[string]any{"address": addr, "slots": brokenCallers})
+	}
 	store.Put("keyed.op", "config", edgeConfig)
 	front, ready, peer := kcprogram.FreePort(t), kcprogram.FreePort(t), kcprogram.FreePort(t)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
--- a/internal/kcevent/event.go
+++ b/internal/kcevent/event.go
@@ -13,8 +13,23 @@
 	"github.com/zeebo/errs"
 )
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event.
+	maxEventBytes = 1 << 20
+	// firstEventBytes is the size of the buffer that an event is first read into.
+	firstEventBytes = 512
+	// uncountedEventBytes is the size of a buffer up to which the memory of an event is
+	// not charged. The charge of a connection covers it.
+	uncountedEventBytes = 8 << 10
+)
+
+// Memory is what events are charged to.
+type Memory interface {
+	// Hold charges n bytes. It returns an error if there is no room for them.
+	Hold(n int64) error
+	// Release releases n bytes.
+	Release(n int64)
+}
 
 // Event is one server-sent event with its terminating blank line.
 type Event struct {
@@ -50,15 +65,54 @@
 	// NonEventBytes is the number of bytes since the last event that counted as
 	// progress.
 	NonEventBytes int
+	memory        Memory
+	// held is what is charged for the last event.
+	held int64
 }
 
 // NewReader returns a reader of the events after the one with the id last, -1
-// for all of them.
-func NewReader(r io.Reader, last int64) *Reader {
-	return &Reader{br: bufio.NewReaderSize(r, 2<<10), hasIDs: last >= 0}
+// for all of them. The caller must call Release after the last event.
+func NewReader(r io.Reader, last int64, memory Memory) *Reader {
+	return &Reader{br: bufio.NewReaderSize(r, 2<<10), hasIDs: last >= 0, memory: memory}
+}
+
+// Release releases the memory of the last event, which must not be used any more.
+func (r *Reader) Release() { _ = r.charge(0) }
+
+// charge replaces what is charged for the current event.
+func (r *Reader) charge(n int64) error {
+	if n > uncountedEventBytes {
+		if err := r.memory.Hold(n); err != nil {
+			return err
+		}
+	} else {
+		n = 0
+	}
+	if r.held > 0 {
+		r.memory.Release(r.held)
+	}
+	r.held = n
+	return nil
+}
+
+// add appends a part to an event.
+func (r *Reader) add(raw, part []byte) ([]byte, error) {
+	n := len(raw) + len(part)
+	if n > maxEventBytes {
+		return raw, errs.New("event is larger than %d bytes", maxEventBytes)
+	}
+	if n > cap(raw) {
+		size := min(max(2*cap(raw), n, firstEventBytes), maxEventBytes)
+		if err := r.charge(int64(size)); err != nil {
+			return raw, err
+		}
+		raw = append(make([]byte, 0, size), raw...)
+	}
+	return append(raw, part...), nil
 }
 
-// Next returns the next complete event, or io.EOF if the stream ended after one.
+// Next returns the next complete event, or io.EOF if the stream ended after one. The
+// event is valid until the next call of Next or Release.
 // It fails if the stream ends within an event, if it holds anything else than
 // events, such as another response, or if more than maxNonEventBytes arrive without
 // an event.
@@ -83,12 +137,13 @@
 
 func (r *Reader) read() (Event, error) {
 	var e Event
+	r.Release()
 	start := 0
 	for {
 		part, err := r.br.ReadSlice('\n')
-		e.Raw = append(e.Raw, part...)
-		if len(e.Raw) > maxEventBytes {
-			return e, errs.New("event is larger than %d bytes", maxEventBytes)
+		var addErr error
+		if e.Raw, addErr = r.add(e.Raw, part); addErr != nil {
+			return e, addErr
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 	"github.com/kingcuprail/kingcuprail/internal/kclatency"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcprefix"
 	"github.com/kingcuprail/kingcuprail/internal/kcrollout"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
@@ -423,6 +424,7 @@
 func (x *exchange) upstreamRequest(c *pickedUpstream, model string, lastEvent int64) *kcconn.Request {
 	req := &kcconn.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Body: x.body, ID: x.meta.ID,
+		Memory: kcledger.CallerOf(x.r.Context()),
 		Header: x.g.Codec.EncodeAttempt(AttemptMeta{
 			RequestMeta: x.meta, UpstreamID: c.ID, Workspace: x.workspace, TimeoutMs: max(x.remaining(), 1),
 			Model: model, LastEventID: lastEvent, Urgency: min(urgencyOffset+x.rank, maxUrgency),
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -203,7 +203,8 @@
 // stream, and otherwise the cause of the interruption. last is the id of the last
 // event that was forwarded, and a the attempt.
 func (x *exchange) relayEvents(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last *int64, a *attempt) error {
-	rd := kcevent.NewReader(resp.Body, *last)
+	rd := kcevent.NewReader(resp.Body, *last, kcledger.CallerOf(x.r.Context()))
+	defer rd.Release()
 	readTimeout := kcclock.Millis(stallFactor * float64(x.pauseLimit()))
 	x.keepWaiting(ctx, c, resp, x.pauseLimit())
 	firstEventAt := kcclock.Millis(0)
