kcupstream: Charge responses to the ledger of memory

A service that sends a body without end made the instance keep up to 8 MiB for each of its requests.

Cause: bodies of services were charged only when they were written to the caller; heads, lines of events and the bodies of an engine's errors were not.

Change: bodies are charged while they are read, heads and lines of events over 8 KiB as well. If there is no room within a second, the response counts as broken. Of the body of an engine's error 64 KiB are read in place of 1 MiB; only a message is taken from it. kcconn, kcevent and kcresponse share the charge of heads.

Not covered: deferred jobs have no caller; their responses are limited to 8 MiB each.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -21,22 +21,8 @@
 	maxHeaderBytes = kcresponse.MaxHeaderBytes
 	// readBufferBytes is enough for a typical response header or a few events.
 	readBufferBytes = 4 << 10
-	// unchargedHeaderBytes is the size up to which the memory of headers is not charged.
-	// It is twice that of a typical response header and a read-ahead.
-	unchargedHeaderBytes = 2 * readBufferBytes
-	// headerFactor is the memory of a byte of headers. Headers of 6 bytes take 11 bytes
-	// of memory for each when they are parsed.
-	headerFactor = 11
 )
 
-// Memory is what large headers are charged to.
-type Memory interface {
-	// Hold charges n bytes. It returns an error if there is no room for them.
-	Hold(n int64) error
-	// Release releases n bytes.
-	Release(n int64)
-}
-
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -82,9 +68,7 @@
 type headerLimitReader struct {
 	nc        net.Conn
 	remaining int
-	// memory is charged for large headers; nil charges nothing. held is its charge.
-	memory Memory
-	held   int64
+	charge    kcresponse.HeadCharge
 	// onTimeout, if set, is called when a read has timed out. The read goes on for
 	// the time that it returns, and fails if that is 0.
 	onTimeout func() kcclock.Millis
@@ -104,24 +88,12 @@
 	}
 	n, err := h.read(p)
 	h.remaining -= n
-	if used := maxHeaderBytes - h.remaining; h.memory != nil && used > unchargedHeaderBytes {
-		charge := int64(headerFactor * min(n, used-unchargedHeaderBytes))
-		if err := h.memory.Hold(charge); err != nil {
-			return 0, err
-		}
-		h.held += charge
+	if chargeErr := h.charge.Add(n); chargeErr != nil {
+		return 0, chargeErr
 	}
 	return n, err
 }
 
-// release releases the charge for the headers.
-func (h *headerLimitReader) release() {
-	if h.held > 0 {
-		h.memory.Release(h.held)
-	}
-	h.memory, h.held = nil, 0
-}
-
 func (h *headerLimitReader) read(p []byte) (int, error) {
 	for {
 		n, err := h.nc.Read(p)
--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -34,7 +34,7 @@
 	MaxConnIdleMs kcclock.Millis
 	// Memory, if set, is charged for large headers of the response until it is finished
 	// or aborted. A response whose headers have no room in it is an error.
-	Memory Memory
+	Memory kcresponse.Memory
 }
 
 // Error describes a failed request.
@@ -90,12 +90,12 @@
 			return nil, &Error{DialFailed: true, Err: err}
 		}
 	}
-	c.headerLimit.memory = req.Memory
+	c.headerLimit.charge.Memory = req.Memory
 	stopCancelWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(err error) (*Response, error) {
 		stopCancelWatch()
 		_ = c.Close()
-		c.headerLimit.release()
+		c.headerLimit.charge.Release()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -177,7 +177,7 @@
 		return
 	}
 	r.finished = true
-	r.conn.headerLimit.release()
+	r.conn.headerLimit.charge.Release()
 	stopped := r.stopCancelWatch()
 	r.OnReadTimeout(nil)
 	_ = r.conn.SetReadDeadline(time.Now()) // the read below must not block
@@ -223,7 +223,7 @@
 		return
 	}
 	r.finished = true
-	r.conn.headerLimit.release()
+	r.conn.headerLimit.charge.Release()
 	r.stopCancelWatch()
 	_ = r.conn.Close()
 }
--- a/internal/kcentry/service.go
+++ b/internal/kcentry/service.go
@@ -204,6 +204,7 @@
 func replayOutcome(ex *Exchange, o kcclaim.Outcome) *kcapi.Error {
 	ex.Execution = o.Execution
 	if o.Execution == kcapi.Completed && !o.Truncated {
+		kcledger.CallerOf(ex.R.Context()).Keep(int64(len(o.Body)))
 		writeResponse(ex, o.Status, o.ContentType, o.Body)
 		return nil
 	}
@@ -219,11 +220,11 @@
 	return kcapi.NewError(status, code, ex.Execution, message).WithRetryAfter(kcclock.Second)
 }
 
+// writeResponse writes a response whose body is charged to the caller already.
 func writeResponse(ex *Exchange, status int, contentType string, body []byte) {
 	if contentType != "" {
 		ex.W.Header().Set("Content-Type", contentType)
 	}
-	kcledger.CallerOf(ex.R.Context()).Keep(int64(len(body)))
 	ex.W.WriteHeader(status)
 	_, _ = ex.W.Write(body)
 }
--- a/internal/kcevent/event.go
+++ b/internal/kcevent/event.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/zeebo/errs"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 )
 
 const (
@@ -18,19 +20,8 @@
 	maxEventBytes = 1 << 20
 	// firstEventBytes is the size of the buffer that an event is first read into.
 	firstEventBytes = 512
-	// uncountedEventBytes is the size of a buffer up to which the memory of an event is
-	// not charged. The charge of a connection covers it.
-	uncountedEventBytes = 8 << 10
 )
 
-// Memory is what events are charged to.
-type Memory interface {
-	// Hold charges n bytes. It returns an error if there is no room for them.
-	Hold(n int64) error
-	// Release releases n bytes.
-	Release(n int64)
-}
-
 // Event is one server-sent event with its terminating blank line.
 type Event struct {
 	// Raw is the text of the event.
@@ -65,14 +56,14 @@
 	// NonEventBytes is the number of bytes since the last event that counted as
 	// progress.
 	NonEventBytes int
-	memory        Memory
+	memory        kcresponse.Memory
 	// held is what is charged for the last event.
 	held int64
 }
 
 // NewReader returns a reader of the events after the one with the id last, -1
 // for all of them. The caller must call Release after the last event.
-func NewReader(r io.Reader, last int64, memory Memory) *Reader {
+func NewReader(r io.Reader, last int64, memory kcresponse.Memory) *Reader {
 	return &Reader{br: bufio.NewReaderSize(r, 2<<10), hasIDs: last >= 0, memory: memory}
 }
 
@@ -81,7 +72,7 @@
 
 // charge replaces what is charged for the current event.
 func (r *Reader) charge(n int64) error {
-	if n > uncountedEventBytes {
+	if n > kcresponse.UnchargedBytes {
 		if err := r.memory.Hold(n); err != nil {
 			return err
 		}
--- a/internal/kcledger/ledger.go
+++ b/internal/kcledger/ledger.go
@@ -167,12 +167,23 @@
 // room, it returns what it has read so far, and the rest is to be passed on as it
 // arrives: an answer is never refused.
 func (k *Caller) ReadAnswer(r io.Reader, most int64) (body []byte, whole bool, err error) {
+	return k.readAnswer(r, most, false)
+}
+
+// ReadWholeAnswer reads an answer of an upstream that is not passed on before its end.
+// If the ledger has no room, it waits, and returns what it has read if there is none
+// after that.
+func (k *Caller) ReadWholeAnswer(r io.Reader, most int64) (body []byte, whole bool, err error) {
+	return k.readAnswer(r, most, true)
+}
+
+func (k *Caller) readAnswer(r io.Reader, most int64, wait bool) (body []byte, whole bool, err error) {
 	r = io.LimitReader(r, most+1)
 	if k == nil {
 		body, err = io.ReadAll(r)
 		return body, err == nil && int64(len(body)) <= most, err
 	}
-	body, full, err := k.read(r, most, false)
+	body, full, err := k.read(r, most, wait)
 	return body, !full && err == nil && int64(len(body)) <= most, err
 }
 
--- a/internal/kcresponse/transport.go
+++ b/internal/kcresponse/transport.go
@@ -21,7 +21,12 @@
 
 // Transport is an http.RoundTripper that returns an error in place of a response whose
 // head breaks HTTP. A body without framing whose connection broke fails with an error.
-type Transport struct{ *http.Transport }
+type Transport struct {
+	*http.Transport
+	// MemoryOf, if set, returns what the heads of the responses to a request with a
+	// context are charged to until their bodies are closed.
+	MemoryOf func(context.Context) Memory
+}
 
 // NewTransport returns a transport that sends requests as base does. base must not be
 // in use. The heads of responses are limited to MaxHeaderBytes.
@@ -38,7 +43,7 @@
 		}
 		return &conn{Conn: nc}, nil
 	}
-	return Transport{base}
+	return Transport{Transport: base}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -46,7 +51,13 @@
 	var used atomic.Pointer[conn]
 	interimBytes := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { used.Store(unwrap(info.Conn)) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			c := unwrap(info.Conn)
+			if c != nil && t.MemoryOf != nil {
+				c.beginHead(t.MemoryOf(req.Context()))
+			}
+			used.Store(c)
+		},
 		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
 			// net/http limits each interim response, not their sum.
 			if interimBytes += headBytes(h); interimBytes > MaxHeaderBytes {
@@ -56,18 +67,40 @@
 		},
 	})
 	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
+	var head HeadCharge
+	c := used.Load()
+	if c != nil {
+		head = c.endHead()
+	}
 	if err != nil {
+		head.Release()
 		return nil, err
 	}
 	if err := CheckHead(resp); err != nil {
+		head.Release()
 		return nil, errs.Combine(err, resp.Body.Close())
 	}
-	if c := used.Load(); c != nil && !IsFramed(resp) {
+	if c != nil && !IsFramed(resp) {
 		resp.Body = unframedBody{resp.Body, c}
 	}
+	if head.held > 0 {
+		resp.Body = &chargedBody{ReadCloser: resp.Body, head: head}
+	}
 	return resp, nil
 }
 
+// chargedBody releases the charge for the head of its response when it is closed.
+type chargedBody struct {
+	io.ReadCloser
+	head HeadCharge
+}
+
+// Close implements io.Closer.
+func (b *chargedBody) Close() error {
+	b.head.Release()
+	return b.ReadCloser.Close()
+}
+
 // headBytes returns the size of the head of a response. Status lines count as the
 // shortest one.
 func headBytes(h textproto.MIMEHeader) int {
@@ -94,18 +127,48 @@
 	return errs.New("the response without framing may be incomplete: %v", writeErr)
 }
 
-// conn records whether a write to a connection has failed.
+// conn records whether a write to a connection has failed, and charges heads.
 type conn struct {
 	net.Conn
-	// mu is held during each write.
-	mu       sync.Mutex
+	// writeMu is held during each write.
+	writeMu  sync.Mutex
 	writeErr error
+
+	headMu sync.Mutex
+	// head is charged from the request to the end of the head of its response.
+	head HeadCharge
+}
+
+func (c *conn) beginHead(m Memory) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = HeadCharge{Memory: m}
+}
+
+// endHead returns the charge and stops charging.
+func (c *conn) endHead() HeadCharge {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	head := c.head
+	c.head = HeadCharge{}
+	return head
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if chargeErr := c.head.Add(n); chargeErr != nil {
+		return 0, chargeErr
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.writeErr = err
@@ -116,8 +179,8 @@
 // awaitWrite waits until no write is running and returns the error of the last one that
 // failed.
 func (c *conn) awaitWrite() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	return c.writeErr
 }
 
--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
@@ -142,11 +143,17 @@
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
-	c.pooled = &http.Client{Transport: kcresponse.NewTransport(pooled), CheckRedirect: noRedirect}
-	c.unpooled = &http.Client{Transport: kcresponse.NewTransport(unpooled), CheckRedirect: noRedirect}
+	c.pooled, c.unpooled = newHTTPClient(pooled), newHTTPClient(unpooled)
 	return c
 }
 
+// newHTTPClient returns a client that charges responses to the callers of the requests.
+func newHTTPClient(base *http.Transport) *http.Client {
+	t := kcresponse.NewTransport(base)
+	t.MemoryOf = func(ctx context.Context) kcresponse.Memory { return kcledger.CallerOf(ctx) }
+	return &http.Client{Transport: t, CheckRedirect: noRedirect}
+}
+
 // noRedirect returns a redirect as the response. Following it would send the
 // request a second time.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -246,7 +253,7 @@
 			return Result{Sent: true, Err: errUnattributed}
 		}
 	}
-	res := c.readResponse(t, call, resp)
+	res := c.readResponse(callerCtx, t, call, resp)
 	if !kcresponse.IsFramed(resp) && res.Err == nil && c.hasEnded(callerCtx, t.Addr) {
 		res.Body, res.Err = nil, errs.New("%s has ended with a response without framing", t.ID)
 	}
@@ -280,10 +287,18 @@
 	}
 }
 
-func (c *Client) readResponse(t Target, call Call, resp *http.Response) Result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxResponseBytes+1))
-	if err == nil && int64(len(body)) > c.opts.MaxResponseBytes {
+// readResponse reads the body of a response. It stays charged to the caller of the
+// request.
+func (c *Client) readResponse(ctx context.Context, t Target, call Call, resp *http.Response) Result {
+	body, whole, err := kcledger.CallerOf(ctx).ReadWholeAnswer(resp.Body, c.opts.MaxResponseBytes)
+	switch {
+	case err == nil && int64(len(body)) > c.opts.MaxResponseBytes:
 		err = errs.New("response of %s exceeds %d bytes", t.ID, c.opts.MaxResponseBytes)
+	case err == nil && !whole:
+		err = errs.New("response of %s: %v", t.ID, kcledger.ErrShort)
+	}
+	if err != nil {
+		kcledger.CallerOf(ctx).Release(int64(cap(body)))
 	}
 	if id := resp.Header.Get(HeaderRequestID); err == nil && id != "" && id != call.RequestID {
 		c.opts.OnRetry(RetryMismatchedResponse)
--- a/internal/kcupstream/conn.go
+++ b/internal/kcupstream/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -21,6 +22,9 @@
 	eventBufferSize = 4
 	// maxEventBytes bounds one line of an event.
 	maxEventBytes = 1 << 20
+	// maxErrorBytes bounds the body of an error response, of which only a message is
+	// used.
+	maxErrorBytes = 64 << 10
 	// maxTrailingBytes bounds what is read after the end marker of a response.
 	maxTrailingBytes = 4 << 10
 	doneMarker       = "[DONE]"
@@ -37,6 +41,8 @@
 	cancel context.CancelFunc
 	// ended is closed once the connection is back in the pool or closed.
 	ended chan struct{}
+	// memory is charged for lines of events.
+	memory kcresponse.Memory
 }
 
 // run reads server-sent events until the response ends or ctx is done. Closing
@@ -55,7 +61,9 @@
 }
 
 func (c *streamConn) scanEvents(ctx context.Context, body io.Reader, from int64) error {
-	sc := bufio.NewScanner(body)
+	charged := &lineCharge{r: body, memory: c.memory}
+	defer charged.release()
+	sc := bufio.NewScanner(charged)
 	buf := lineBufferPool.Get().(*[4096]byte)
 	defer lineBufferPool.Put(buf)
 	sc.Buffer(buf[:0], maxEventBytes)
@@ -87,6 +95,47 @@
 	return io.ErrUnexpectedEOF
 }
 
+// lineCopies is the memory of a line of an event, in its sizes: the buffer of the scanner
+// and the event.
+const lineCopies = 2
+
+// lineCharge charges the longest line that was read so far, since the scanner keeps its
+// buffer. Lines of ordinary events are not charged.
+type lineCharge struct {
+	r      io.Reader
+	memory kcresponse.Memory
+	// line is the number of bytes since the last end of a line, longest that of the
+	// longest line that is charged.
+	line, longest int
+}
+
+// Read implements io.Reader.
+func (c *lineCharge) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	for part := p[:n]; ; {
+		end := bytes.IndexByte(part, '\n')
+		if end < 0 {
+			c.line += len(part)
+		} else {
+			c.line += end
+		}
+		if c.line > max(c.longest, kcresponse.UnchargedBytes) {
+			// Doubles, so that a long line is charged in few steps.
+			next := min(max(2*c.longest, c.line), maxEventBytes)
+			if holdErr := c.memory.Hold(int64(lineCopies * (next - c.longest))); holdErr != nil {
+				return 0, holdErr
+			}
+			c.longest = next
+		}
+		if end < 0 {
+			return n, err
+		}
+		c.line, part = 0, part[end+1:]
+	}
+}
+
+func (c *lineCharge) release() { c.memory.Release(int64(lineCopies * c.longest)) }
+
 // idleTimer bounds each of many short waits with one clock timer, so that an
 // event that arrives in time does not cost a timer of its own.
 type idleTimer struct {
--- a/internal/kcupstream/stream.go
+++ b/internal/kcupstream/stream.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -293,7 +294,7 @@
 		// not arrive within the idle timeout.
 		readCtx, cancelRead := kcclock.WithTimeout(ctx, s.client.opts.Clock, s.client.opts.IdleTimeoutMs)
 		stopAfterFunc := context.AfterFunc(readCtx, cancel)
-		body, _ := io.ReadAll(io.LimitReader(res.resp.Body, maxEventBytes))
+		body, _ := io.ReadAll(io.LimitReader(res.resp.Body, maxErrorBytes))
 		stopAfterFunc()
 		cancelRead()
 		_ = res.resp.Body.Close()
@@ -305,7 +306,9 @@
 				res.resp.Header.Get(HeaderRequestID) != s.requestID,
 		}
 	}
-	s.conn = &streamConn{events: make(chan Event, eventBufferSize), cancel: cancel, ended: make(chan struct{})}
+	s.conn = &streamConn{
+		events: make(chan Event, eventBufferSize), cancel: cancel, ended: make(chan struct{}), memory: kcledger.CallerOf(ctx),
+	}
 	go s.conn.run(connCtx, res.resp.Body, s.nextOffset)
 	return nil
 }
