kcgate: Reject requests whose bodies arrive late in a planned stop

What callers could see: in a planned stop of an instance, a request whose upload was under way when the instance stopped accepting was sent on as soon as its body was whole, however late. If it still ran at the end of the grace period, it was cut off with the process, and nobody knew whether it had run.

Cause: an instance decides when a request begins whether it still accepts requests. The body may take as long as the caller's deadline allows.

Change: the instance asks again when the body is whole. Such a request gets 503, which is true: nothing was sent.

--- /dev/null
+++ b/internal/kcedge/late_test.go
@@ -0,0 +1,93 @@
+package kcedge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/kingcuprail/kingcuprail/internal/kctable"
+	"github.com/kingcuprail/kingcuprail/platform/kcplatformtest"
+)
+
+// onceConfig has a route whose requests must not be repeated.
+const onceConfig = `{"version":2,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","type":"nonidempotent",
+"service":"x","timeout_ms":60000,"slo_ms":300,"max_attempts":2}],"services":[{"name":"x","max_conns":9}],
+"limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k1"]}]}`
+
+// startOnce starts an instance with an upstream and waits until it is ready.
+func startOnce(t *testing.T, upstream http.HandlerFunc) *testInstance {
+	t.Helper()
+	p := &testInstance{store: kcplatformtest.NewStore(t)}
+	p.store.Put("keyed.servers", "u1", upstreamEntry(kcplatformtest.Serve(t, upstream), "v1", 1))
+	p.store.Put("keyed.op", "config", onceConfig)
+	p.start(t, kctable.Deployment{
+		Instance: "i", Zone: "z", Region: "r", Regions: map[string]string{"z": "r"},
+		Bounds: kctable.Bounds{StrictRevoke: true, KeyRevokeMs: 5000, GraceMs: 3000, RetryRatio: 0.9, SessionIdleMs: 5000},
+	})
+	p.waitForStatus(t, p.readyAddr, "/readyz", "", http.StatusOK)
+	return p
+}
+
+// Guards against requests that begin early and whose bodies arrive late in the grace
+// period: they were sent on and might be cut off with the process.
+func TestLateBodyIsRejectedInTheGrace(t *testing.T) {
+	for name, before := range map[string]int{"new connection": 0, "kept connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			var late atomic.Int64
+			p := startOnce(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Request-Id") == "late" {
+					late.Add(1)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				w.Header().Set("Stamp", "s")
+			})
+			nc, err := net.Dial("tcp", p.callerAddr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = nc.Close() }()
+			br := bufio.NewReader(nc)
+			send := func(id, body string, more int) {
+				const head = "POST /a/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\nDeadline-Ms: 60000\r\n" +
+					"Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
+				if _, err := fmt.Fprintf(nc, head, id, len(body)+more, body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			receive := func() int {
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				return resp.StatusCode
+			}
+			for range before {
+				send("early", "body", 0)
+				if got := receive(); got != http.StatusOK {
+					t.Fatalf("status %d of the first request on the connection", got)
+				}
+			}
+			const rest = "rest of the body"
+			send("late", "body", len(rest))
+			p.stop()
+			waitUntil(func() bool {
+				got, _ := p.post(t, "/a/x", "", "Request-Id", "other", "Deadline-Ms", "60000")
+				return got == http.StatusServiceUnavailable
+			})
+			if _, err := io.Copy(nc, strings.NewReader(rest)); err != nil {
+				t.Fatal(err)
+			}
+			if got := receive(); got != http.StatusServiceUnavailable || late.Load() != 0 {
+				t.Errorf("status %d, %d runs: want 503 and none", got, late.Load())
+			}
+		})
+	}
+}
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -159,7 +159,15 @@
 		return false
 	}
 	x.setDeadline()
-	return x.readBody()
+	if !x.readBody() {
+		return false
+	}
+	if g.drain.isRejecting() {
+		// The body has arrived so late that the request might not end before the
+		// instance does.
+		return x.reject(http.StatusServiceUnavailable, reasonStopping, otherInstanceRetryMs)
+	}
+	return true
 }
 
 // checkKey checks the API key. It reports whether it is valid; if not, the request
--- a/internal/kcgate/stop.go
+++ b/internal/kcgate/stop.go
@@ -43,6 +43,12 @@
 	return s.draining
 }
 
+func (s *drainState) isRejecting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejecting
+}
+
 // StartDraining makes the instance report that it is not ready. Requests are
 // still served, and each response closes its connection.
 func (g *Gateway) StartDraining() {
