kcgate: Answer the requests that outlast a planned stop

What callers saw: a request that was taken during a planned stop and still ran at the end of the grace period lost its connection without an answer, among them requests that may not be repeated.

Cause: the wait for running requests ended and the connections were closed.

Change: when the wait ends, 0.4 s before the end of the grace period, the gateway ends the attempts that are still running and answers their requests: 502, or 503 if nothing was sent. Streams and long responses that have begun are aborted as before, since nothing else tells that they are incomplete.

--- a/internal/kcedge/late_test.go
+++ b/internal/kcedge/late_test.go
@@ -33,6 +33,28 @@
 	return p
 }
 
+// Guards against requests that are cut off without an answer at the end of the grace
+// period: callers then wait for a timeout of their own, or cannot tell what has happened.
+func TestRequestThatOutlastsTheGraceIsAnswered(t *testing.T) {
+	running := make(chan struct{})
+	p := startOnce(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(running)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	})
+	status := make(chan int, 1)
+	go func() {
+		got, _ := p.post(t, "/a/x", "body", "Request-Id", "q1", "Deadline-Ms", "60000")
+		status <- got
+	}()
+	<-running
+	p.stop()
+	if got := <-status; got != http.StatusBadGateway {
+		t.Errorf("status %d, want 502: the request may have run", got)
+	}
+}
+
 // Guards against requests that begin early and whose bodies arrive late in the grace
 // period: they were sent on and might be cut off with the process.
 func TestLateBodyIsRejectedInTheGrace(t *testing.T) {
--- a/internal/kcedge/stop.go
+++ b/internal/kcedge/stop.go
@@ -35,7 +35,8 @@
 }
 
 // shutDown reports not ready, waits until the platform has noticed, stops
-// accepting requests, and waits for the running ones within the grace period.
+// accepting requests, and waits for the running ones within the grace period. Those
+// that run for longer are answered before the process ends.
 func (e *Edge) shutDown() {
 	clock := kcclock.Boot{}
 	began := clock.Now()
@@ -48,5 +49,6 @@
 	ctx, cancel := kcclock.WithTimeout(context.Background(), clock, left)
 	defer cancel()
 	e.gate.Drain(ctx)
+	e.gate.EndRunning()
 	e.conns.closeIdle(1)
 }
--- a/internal/kcgate/gate.go
+++ b/internal/kcgate/gate.go
@@ -5,6 +5,7 @@
 package kcgate
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -167,7 +168,9 @@
 		Instance: opts.Deployment.Instance, Overage: opts.Deployment.Bounds.ColdOverage, Slack: opts.Deployment.Bounds.ColdSlack,
 		Log: opts.Log,
 	}
+	running, end := context.WithCancel(context.Background())
 	return &Gateway{
+		drain:       drainState{running: running, end: end},
 		Admission:   newAdmission(opts, upstreams),
 		Options:     opts,
 		Upstreams:   upstreams,
--- a/internal/kcgate/serve.go
+++ b/internal/kcgate/serve.go
@@ -258,6 +258,8 @@
 func (x *exchange) forward() {
 	ctx, cancel := x.deadlineContext()
 	defer cancel()
+	ctx, stop := x.g.drain.untilStop(ctx)
+	defer stop()
 	x.service = x.route.SelectService(hashFraction(x.meta.ID))
 	x.awaitRolloutState(ctx)
 	x.g.countRequest(x.service)
@@ -322,6 +324,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	late := ctx.Err() != nil
+	if errors.Is(context.Cause(ctx), errStopping) {
+		late, reason, retryAfter = false, reasonStopping, otherInstanceRetryMs
+	}
 	switch {
 	case !x.attempts.mayHaveRun() && late:
 		x.reject(http.StatusServiceUnavailable, reasonTimeoutBeforeSend, retryAfter)
--- a/internal/kcgate/stop.go
+++ b/internal/kcgate/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/zeebo/errs"
 )
 
 // drainState counts the running requests and holds the state of the shutdown.
@@ -12,6 +14,9 @@
 	draining bool
 	// rejecting is true once new requests are rejected.
 	rejecting bool
+	// running ends when the running requests must be answered at once.
+	running context.Context
+	end     context.CancelFunc
 	// idle is closed when no request is running. It is nil if nobody waits for
 	// that.
 	idle chan struct{}
@@ -49,6 +54,24 @@
 	return s.rejecting
 }
 
+// errStopping ends the requests that run for longer than the shutdown waits.
+var errStopping = errs.New("the instance stops")
+
+// EndRunning makes the gateway answer the requests that are still running at once.
+// Requests that may have run get a status that promises nothing. Responses that have
+// begun are aborted.
+func (g *Gateway) EndRunning() { g.drain.end() }
+
+// untilStop returns a context that also ends when running requests must be answered.
+func (s *drainState) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stopWait := context.AfterFunc(s.running, func() { cancel(errStopping) })
+	return ctx, func() {
+		stopWait()
+		cancel(nil)
+	}
+}
+
 // StartDraining makes the instance report that it is not ready. Requests are
 // still served, and each response closes its connection.
 func (g *Gateway) StartDraining() {
