kcentry: Reject requests whose bodies arrive late in a planned stop

What callers could see at the project's own door: as at the users' platform, a request whose upload was under way when the instance began to drain was sent on however late its body was whole, and cut off if it outlasted the stop.

Cause: whether the instance stops was asked only before the body was read.

Change: it is asked again when the body is whole; the request gets 503 'stopping' with the execution 'notRun'.

--- a/internal/kcedge/late_test.go
+++ b/internal/kcedge/late_test.go
@@ -1,15 +1,12 @@
 package kcedge_test
 
 import (
-	"bufio"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcfault"
 	"github.com/kingcuprail/kingcuprail/internal/kctable"
 	"github.com/kingcuprail/kingcuprail/platform/kcplatformtest"
 )
@@ -69,46 +66,22 @@
 				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 				w.Header().Set("Stamp", "s")
 			})
-			nc, err := net.Dial("tcp", p.callerAddr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = nc.Close() }()
-			br := bufio.NewReader(nc)
-			send := func(id, body string, more int) {
-				const head = "POST /a/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\nDeadline-Ms: 60000\r\n" +
-					"Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
-				if _, err := fmt.Fprintf(nc, head, id, len(body)+more, body); err != nil {
-					t.Fatal(err)
-				}
-			}
-			receive := func() int {
-				resp, err := http.ReadResponse(br, nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				_, _ = io.Copy(io.Discard, resp.Body)
-				_ = resp.Body.Close()
-				return resp.StatusCode
-			}
+			const head = "POST /a/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\nDeadline-Ms: 60000\r\nRequest-Id: "
+			u := kcfault.NewUpload(t, p.callerAddr)
 			for range before {
-				send("early", "body", 0)
-				if got := receive(); got != http.StatusOK {
-					t.Fatalf("status %d of the first request on the connection", got)
+				u.Begin(head+"early\r\n", "bo", 4)
+				if status, _ := u.Finish("dy"); status != http.StatusOK {
+					t.Fatalf("status %d of the first request on the connection", status)
 				}
 			}
-			const rest = "rest of the body"
-			send("late", "body", len(rest))
+			u.Begin(head+"late\r\n", "bo", 4)
 			p.stop()
 			waitUntil(func() bool {
 				got, _ := p.post(t, "/a/x", "", "Request-Id", "other", "Deadline-Ms", "60000")
 				return got == http.StatusServiceUnavailable
 			})
-			if _, err := io.Copy(nc, strings.NewReader(rest)); err != nil {
-				t.Fatal(err)
-			}
-			if got := receive(); got != http.StatusServiceUnavailable || late.Load() != 0 {
-				t.Errorf("status %d, %d runs: want 503 and none", got, late.Load())
+			if status, _ := u.Finish("dy"); status != http.StatusServiceUnavailable || late.Load() != 0 {
+				t.Errorf("status %d, %d runs: want 503 and none", status, late.Load())
 			}
 		})
 	}
--- a/internal/kcentry/exchange.go
+++ b/internal/kcentry/exchange.go
@@ -163,7 +163,8 @@
 	// expired read deadline would look like one, so it is cleared.
 	_ = ex.W.rc.SetReadDeadline(time.Time{})
 	ex.Body, ex.bodyReadAt = body, time.Now()
-	return nil
+	// A body that arrives after the instance has begun to drain is too late.
+	return s.checkShutdown(ctx, ex)
 }
 
 // memoryRetryMs is the time after which callers that do not send have been ended.
