kcentry: Answer the requests that outlast a planned stop

What callers saw at the project's own door: a request that still ran at the end of the stop lost its connection without an answer, among them requests that may not be repeated.

Cause: the server was closed as soon as the wait for running requests ended.

Change: when the wait ends, or at a second signal, the calls that are still running are ended and their requests answered with 'stopping': 502 with the execution 'unknown', or 503 if nothing was sent. Streams that have begun get the event of an error. The server waits up to 1 s for these answers before it closes the connections. Outcomes and bills are recorded as before.

--- a/internal/kcentry/dispatch.go
+++ b/internal/kcentry/dispatch.go
@@ -196,6 +196,8 @@
 	case ex.W.writeErr != nil || ex.R.Context().Err() != nil:
 		return kcapi.NewError(kcapi.StatusCallerLeft, kcapi.CodeCallerLeft, ex.Execution,
 			"the caller left or did not read the answer")
+	case errors.Is(context.Cause(ctx), errStopping):
+		return stoppingError(ex)
 	case ctx.Err() != nil:
 		return deadlineError(ex)
 	case errors.Is(err, errResponseTooLarge):
--- a/internal/kcentry/exchange.go
+++ b/internal/kcentry/exchange.go
@@ -104,9 +104,11 @@
 		s.runningRequests.add(ex.ID)
 		defer s.runningRequests.remove(ex.ID)
 		defer s.settleBill(ex)
+		ctx, stop := s.untilStop(r.Context())
+		defer stop()
 		var failure *kcapi.Error
 		for _, f := range filters {
-			if failure = f(r.Context(), ex); failure != nil {
+			if failure = f(ctx, ex); failure != nil {
 				break
 			}
 		}
--- a/internal/kcentry/server.go
+++ b/internal/kcentry/server.go
@@ -4,6 +4,7 @@
 package kcentry
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -63,6 +64,9 @@
 	runningRequests requestTracker
 	ready           atomic.Bool
 	shutdownPhase   atomic.Int32
+	// running ends when the running requests must be answered at once.
+	running    context.Context
+	endRunning context.CancelFunc
 }
 
 // NewServer returns a server that reports not ready until SetReady is called.
@@ -75,7 +79,9 @@
 		opts.Quarantine = kcquarantine.New(kcquarantine.Options{Clock: opts.Clock, Instance: opts.Instance})
 	}
 	load := newUpstreamLoadTable(opts.Clock, opts.Metrics.Count)
+	running, endRunning := context.WithCancel(context.Background())
 	return &Server{
+		running: running, endRunning: endRunning,
 		Options: opts, upstreamLoad: load, enginePools: newEngineTable(load.blockedUpstreams), routingState: opts.RoutingState,
 	}
 }
--- a/internal/kcentry/service.go
+++ b/internal/kcentry/service.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -143,7 +144,9 @@
 		s.recordOutcome(ctx, ex, out)
 		return refusal
 	}
-	res := s.sendCall(ctx, ex, member, call, start)
+	callCtx, endCall := s.untilStop(ctx)
+	defer endCall()
+	res := s.sendCall(callCtx, ex, member, call, start)
 	if res.Sent {
 		ex.Execution = kcapi.Unknown
 	}
@@ -158,6 +161,9 @@
 	}
 	s.recordOutcome(ctx, ex, out)
 	s.settleBill(ex)
+	if res.Err != nil && errors.Is(context.Cause(callCtx), errStopping) {
+		return stoppingError(ex)
+	}
 	if res.Err != nil && s.Clock.Now() >= ex.Deadline {
 		return deadlineError(ex)
 	}
--- a/internal/kcentry/shutdown.go
+++ b/internal/kcentry/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -35,6 +36,32 @@
 	return s.runningRequests.waitEmpty(ctx)
 }
 
+// errStopping ends the requests that run for longer than the shutdown waits.
+var errStopping = errors.New("the instance stops")
+
+// EndRunning makes the server answer the requests that are still running at once.
+func (s *Server) EndRunning() { s.endRunning() }
+
+// untilStop returns a context that also ends when running requests must be answered.
+func (s *Server) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stopWait := context.AfterFunc(s.running, func() { cancel(errStopping) })
+	return ctx, func() {
+		stopWait()
+		cancel(nil)
+	}
+}
+
+// stoppingError returns the error for a request that the server does not finish.
+func stoppingError(ex *Exchange) *kcapi.Error {
+	if ex.Execution == kcapi.NotRun {
+		return kcapi.NewError(http.StatusServiceUnavailable, kcapi.CodeStopping, kcapi.NotRun,
+			"the instance is stopping; send the request again").WithRetryAfter(kcclock.Second)
+	}
+	return kcapi.NewError(http.StatusBadGateway, kcapi.CodeStopping, ex.Execution,
+		"the instance stopped before the request was finished")
+}
+
 // checkShutdown rejects new requests during the drain and closes connections from
 // the lame-duck phase on.
 func (s *Server) checkShutdown(_ context.Context, ex *Exchange) *kcapi.Error {
@@ -46,8 +73,7 @@
 	if phase == phaseLameDuck {
 		return nil
 	}
-	return kcapi.NewError(http.StatusServiceUnavailable, kcapi.CodeStopping, kcapi.NotRun,
-		"the instance is stopping; send the request again").WithRetryAfter(kcclock.Second)
+	return stoppingError(ex)
 }
 
 // requestTracker holds the ids of the requests that are running.
--- a/internal/kcinstance/late_test.go
+++ b/internal/kcinstance/late_test.go
@@ -13,6 +13,7 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcsettings"
 	"github.com/kingcuprail/kingcuprail/internal/kcstandin"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
 // withOrders returns options that replace the service "orders".
@@ -27,6 +28,45 @@
 	}
 }
 
+// Guards against requests that are cut off without an answer at the end of a planned
+// stop, among them those that may not be repeated.
+func TestRequestThatOutlastsTheStopIsAnswered(t *testing.T) {
+	for operation, key := range map[string]string{"place": "key", "lookup": ""} {
+		t.Run(operation, func(t *testing.T) {
+			running := make(chan struct{})
+			i := startInstance(t, func(o *kcinstance.Options) {
+				withOrders(t, func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					close(running)
+					<-r.Context().Done()
+				})(o)
+				o.Settings.Timing.ShutdownTimeoutMs = 300
+				o.Settings.Limits.MaxAttempts = 1
+				o.Settings.Limits.DefaultMaxWaitMs = kcclock.Minute
+			})
+			type answer struct {
+				status int
+				body   string
+			}
+			answers := make(chan answer, 1)
+			go func() {
+				defer close(answers)
+				status, body := postCall(t, i.callerURL+"/v1/services/orders/"+operation, key, "{}")
+				answers <- answer{status, body}
+			}()
+			<-running
+			i.startStop()
+			got := <-answers
+			if got.status != http.StatusBadGateway || !strings.Contains(got.body, `"code":"stopping","execution":"unknown"`) {
+				t.Errorf("status %d: %s", got.status, got.body)
+			}
+			if err := <-i.runResult; err == nil {
+				t.Error("no error although a request was interrupted")
+			}
+		})
+	}
+}
+
 // Guards against requests whose bodies arrive late in a planned stop and are sent on.
 func TestLateBodyIsRejectedInTheStop(t *testing.T) {
 	for name, before := range map[string]int{"new connection": 0, "kept connection": 1} {
--- a/internal/kcinstance/stop.go
+++ b/internal/kcinstance/stop.go
@@ -14,7 +14,8 @@
 // timeout or a second signal.
 const flushTimeoutMs = 2 * kcclock.Second
 
-// connCloseTimeoutMs bounds the wait for connections without a running request.
+// connCloseTimeoutMs bounds the wait for connections without a running request, and for
+// the answers to requests that were interrupted.
 const connCloseTimeoutMs = kcclock.Second
 
 // gracefulStop reports not ready, keeps serving for the lame duck period so
@@ -45,13 +46,14 @@
 	}
 	i.opts.Log.Info("stopping")
 	interrupted := i.entry.Drain(stopCtx)
+	i.entry.EndRunning()
 	if left := i.jobQueue.Stop(stopCtx); left > 0 {
 		i.opts.Log.Error("jobsCut", "jobs", left)
 	}
 	if len(interrupted) > 0 {
 		i.opts.Log.Error("requestsCut", "requestIds", strings.Join(interrupted, ","))
 	}
-	err := i.closeCallerServer(stopCtx, len(interrupted) > 0)
+	err := i.closeCallerServer(ctx)
 	err = errors.Join(err, i.flushRecords(ctx, stopCtx))
 	_ = i.closeListeners()
 	if len(interrupted) > 0 {
@@ -100,13 +102,13 @@
 	return err
 }
 
-// closeCallerServer closes the caller listener. Connections that remain open
-// after the requests have ended are idle or have sent a part of a request, to
-// which no response was sent.
-func (i *Instance) closeCallerServer(ctx context.Context, interrupted bool) error {
+// closeCallerServer closes the caller listener. It waits until the requests that were
+// interrupted have been answered. Connections that remain open after that are idle or
+// have sent a part of a request, to which no response was sent.
+func (i *Instance) closeCallerServer(ctx context.Context) error {
 	ctx, cancel := kcclock.WithTimeout(ctx, i.opts.Clock, connCloseTimeoutMs)
 	defer cancel()
-	if !interrupted && i.callerServer.Shutdown(ctx) == nil {
+	if i.callerServer.Shutdown(ctx) == nil {
 		return nil
 	}
 	return i.callerServer.Close()
