kcsoak: Play upstreams with broken responses

The soak played responses that are cut off or fail, none that break HTTP. Upstreams now also answer with the status 000, with and without a sound response behind it, with blanks in the names of fields, with half a head, and without framing and reset.

--- a/internal/kcsoak/faults_test.go
+++ b/internal/kcsoak/faults_test.go
@@ -125,10 +125,10 @@
 	u := s.upstreams[rnd.IntN(len(s.upstreams))]
 	u.SetFaults([]kcplatformtest.UpstreamFaults{
 		{RejectedShare: 0.7},
-		{CutOffShare: 0.4},
+		{CutOffShare: 0.3, BrokenShare: 0.3},
 		{ErrorShare: 0.5},
 		{PauseMs: kcclock.Millis(20 + rnd.IntN(300))},
-		{RejectedShare: 0.3, CutOffShare: 0.2},
+		{RejectedShare: 0.3, CutOffShare: 0.1, BrokenShare: 0.2},
 	}[rnd.IntN(5)])
 	return func() { u.SetFaults(kcplatformtest.UpstreamFaults{}) }
 }
--- a/internal/kcsoak/proxy_test.go
+++ b/internal/kcsoak/proxy_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -64,13 +65,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // send RST instead of FIN
-		}
-		_ = c.Close()
+		resetConn(c)
 	}
 }
 
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // send RST instead of FIN
+	}
+	_ = c.Close()
+}
+
 func (p *proxy) trackConn(c net.Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,8 +104,8 @@
 }
 
 // forward copies src to dst and applies the fault that is set when a chunk
-// arrives.
-func (p *proxy) forward(dst io.Writer, src io.Reader, fault *linkFault) {
+// arrives. A reset is passed on as one.
+func (p *proxy) forward(dst, src net.Conn, fault *linkFault) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
@@ -115,6 +120,9 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			resetConn(dst)
+		}
 		if err != nil {
 			return
 		}
