kcentry: Charge chat responses while they are assembled

What could happen at the project's own door: an engine that sends valid events without end in response to a request that is not streamed, or whose response is held for a check. The instance assembled up to 8 MiB for each such request, and kept up to four events of 1 MiB that a slow caller had not taken.

Cause: such responses were charged to the ledger of memory only when they were written.

Change: events that are assembled or held are charged in steps of 64 KiB, large events also while they wait for the reader. Without room within a second the request gets 502, and the engine is not blamed for it.

--- a/internal/kccrowd/broken_test.go
+++ b/internal/kccrowd/broken_test.go
@@ -122,15 +122,22 @@
 		calls = "/v1/services/orders/lookup"
 		chats = "/v1/chat/completions"
 		chat  = `{"model":"small","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+		unary = `{"model":"small","messages":[{"role":"user","content":"hello"}]}`
 	)
 	var fields strings.Builder
 	for n := 0; fields.Len() < 63<<10; n++ {
 		fmt.Fprintf(&fields, "%x:\r\n", n)
 	}
+	var events strings.Builder
+	for n := 0; events.Len() < 7<<20; n++ {
+		const event = "id: %d\ndata: {\"id\":\"{id}\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n"
+		fmt.Fprintf(&events, event, n, fill[:4<<10])
+	}
 	for name, c := range map[string]struct{ path, body, response string }{
 		"fields":              {calls, "{}", head + fields.String()},
 		"body":                {calls, "{}", head + "\r\n" + strings.Repeat("x", 7<<20)},
 		"line of event":       {chats, chat, head + "\r\nid: 0\r\ndata: " + strings.Repeat("x", 1000<<10)},
+		"events":              {chats, unary, head + "\r\n" + events.String() + "data: "},
 		"body of a rejection": {chats, chat, "HTTP/1.1 400 Bad Request\r\n{header}\r\n" + strings.Repeat("x", 1000<<10)},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/kcentry/admission.go
+++ b/internal/kcentry/admission.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcretry"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kcupstream"
@@ -121,7 +122,7 @@
 	case errors.As(err, &status):
 		return classifyStatus(status.Status)
 	case ctx.Err() != nil, ex.W.writeErr != nil, ex.R.Context().Err() != nil,
-		errors.As(err, &refusal), errors.Is(err, errResponseTooLarge):
+		errors.As(err, &refusal), errors.Is(err, errResponseTooLarge), errors.Is(err, kcledger.ErrShort):
 		return kcretry.Unfinished
 	default:
 		return kcretry.Failed
--- a/internal/kcentry/dispatch.go
+++ b/internal/kcentry/dispatch.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcledger"
 	"github.com/kingcuprail/kingcuprail/internal/kcmember"
 	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/internal/kcupstream"
@@ -204,6 +205,9 @@
 		// Another upstream would generate a response of the same size.
 		return kcapi.NewError(http.StatusBadGateway, kcapi.CodeUpstreamFailed, ex.Execution,
 			"the answer is larger than "+strconv.FormatInt(s.Limits.MaxResponseBytes, 10)+" bytes; ask for a stream")
+	case errors.Is(err, kcledger.ErrShort):
+		return kcapi.NewError(http.StatusBadGateway, kcapi.CodeUpstreamFailed, ex.Execution,
+			"the instance has no memory left for the answer").WithRetryAfter(memoryRetryMs)
 	case errors.As(err, &status) && status.Status == http.StatusBadRequest && !started:
 		return kcapi.NewError(http.StatusBadRequest, kcapi.CodeInvalidRequest, ex.Execution,
 			"the engine rejected the request: "+engineErrorMessage(status.Body))
@@ -270,6 +274,7 @@
 	stream.Close(err == nil)
 	passed := s.evaluateAttempt(r, err)
 	if err != nil {
+		r.releaseCharge()
 		return err
 	}
 	if !passed {
--- a/internal/kcentry/relay.go
+++ b/internal/kcentry/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcuprail/kingcuprail/internal/kcchat"
 	"github.com/kingcuprail/kingcuprail/internal/kcledger"
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 	"github.com/kingcuprail/kingcuprail/internal/kcupstream"
 	"github.com/kingcuprail/kingcuprail/pkg/kcapi"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -33,6 +34,8 @@
 	eventBuf []byte
 	// responseBytes is the number of event bytes that were assembled or held so far.
 	responseBytes int64
+	// chargedBytes is what is charged to the caller for them.
+	chargedBytes int64
 	// version is the version that the attempt runs on.
 	version string
 	// holdUntilChecked holds the events of a streamed response in heldEvents until
@@ -107,6 +110,9 @@
 		r.responseBytes += int64(len(data))
 		switch {
 		case r.responseBytes <= r.s.Limits.MaxResponseBytes:
+			if err := r.charge(); err != nil {
+				return err
+			}
 			return r.assembler.Add(data)
 		case r.ex.Chat.Stream:
 			// The response is too large to hold, so it is relayed without the check.
@@ -139,6 +145,32 @@
 	return r.ex.W.flush()
 }
 
+const (
+	// chargeStepBytes is how much of a response is charged at once.
+	chargeStepBytes = 64 << 10
+	// heldCopies is the memory of a byte of a response that is assembled and held.
+	heldCopies = 2
+)
+
+// charge charges the caller for the events that are assembled or held so far. The first
+// ones are covered by the charge of the connection.
+func (r *relay) charge() error {
+	for heldCopies*r.responseBytes > r.chargedBytes+kcresponse.UnchargedBytes {
+		if err := kcledger.CallerOf(r.ex.R.Context()).Hold(chargeStepBytes); err != nil {
+			return err
+		}
+		r.chargedBytes += chargeStepBytes
+	}
+	return nil
+}
+
+// releaseCharge releases the charge for the events of an attempt whose response is not
+// used.
+func (r *relay) releaseCharge() {
+	kcledger.CallerOf(r.ex.R.Context()).Release(r.chargedBytes)
+	r.chargedBytes = 0
+}
+
 func (r *relay) wantsUsage() bool {
 	return r.ex.Chat.StreamOptions != nil && r.ex.Chat.StreamOptions.IncludeUsage
 }
--- a/internal/kcupstream/conn.go
+++ b/internal/kcupstream/conn.go
@@ -81,10 +81,15 @@
 		case string(value) == doneMarker:
 			return io.EOF
 		default:
+			ev, err := c.newEvent(offset, value)
+			if err != nil {
+				return err
+			}
 			select {
-			case c.events <- Event{Offset: offset, Data: bytes.Clone(value)}:
+			case c.events <- ev:
 				offset++
 			case <-ctx.Done():
+				c.memory.Release(ev.charged)
 				return ctx.Err()
 			}
 		}
@@ -95,8 +100,21 @@
 	return io.ErrUnexpectedEOF
 }
 
-// lineCopies is the memory of a line of an event, in its sizes: the buffer of the scanner
-// and the event.
+// newEvent returns an event with a copy of data. A large one is charged.
+func (c *streamConn) newEvent(offset int64, data []byte) (Event, error) {
+	ev := Event{Offset: offset}
+	if len(data) > kcresponse.UnchargedBytes {
+		ev.charged = int64(len(data))
+		if err := c.memory.Hold(ev.charged); err != nil {
+			return ev, err
+		}
+	}
+	ev.Data = bytes.Clone(data)
+	return ev, nil
+}
+
+// lineCopies is the memory of a line of an event, in its sizes: the buffers of the scanner
+// before and after it has grown.
 const lineCopies = 2
 
 // lineCharge charges the longest line that was read so far, since the scanner keeps its
--- a/internal/kcupstream/stream.go
+++ b/internal/kcupstream/stream.go
@@ -41,6 +41,8 @@
 	// Offset grows by one per event and starts at 0.
 	Offset int64
 	Data   []byte
+	// charged is what the event is charged with until the next one is taken.
+	charged int64
 }
 
 // StatusError is an error response of an engine: a response with a status other
@@ -67,6 +69,8 @@
 	nextOffset int64
 	conn       *streamConn
 	idle       idleTimer
+	// release releases the charge for the last event.
+	release func()
 	// Resumes counts the resumes over the life of the stream.
 	Resumes       int
 	failedResumes int
@@ -78,7 +82,7 @@
 // the request at the engine; ErrUnknownRequest then means that the engine does
 // not know it.
 func (c *Client) Stream(ctx context.Context, t Target, requestID string, body []byte) (*Stream, bool, error) {
-	s := &Stream{client: c, target: t, requestID: requestID}
+	s := &Stream{client: c, target: t, requestID: requestID, release: func() {}}
 	s.idle = idleTimer{clock: c.opts.Clock, timeoutMs: c.opts.IdleTimeoutMs}
 	sent, err := s.start(ctx, c.pooled, body)
 	if isUnattributed(err) {
@@ -167,6 +171,7 @@
 // Close ends the stream and returns at once. Unless the response is complete,
 // it cancels the request at the engine in the background.
 func (s *Stream) Close(complete bool) {
+	s.release()
 	if complete {
 		s.closeAfterCompletion()
 		return
@@ -355,6 +360,9 @@
 		if !open {
 			return Event{}, s.conn.err
 		}
+		s.release()
+		memory := s.conn.memory
+		s.release = func() { memory.Release(ev.charged) }
 		if isNext, err := s.checkEvent(ev); err != nil || isNext {
 			return ev, err
 		}
