kcledger: Do not charge a request after its end

A response of an engine may be read to its end after its request, since its connection goes back to the pool in the background. Its release would then have taken the charge of the next request on the caller's connection (found in reading, with the charges for lines of events; TestReleaseAfterTheRequestChangesNothing). A caller is that of one request now: later charges and releases do nothing.

The tests of charges share kcfault.Memory.

--- a/internal/kcconn/memory_test.go
+++ b/internal/kcconn/memory_test.go
@@ -6,25 +6,10 @@
 	"testing"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcfault"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
-var errFull = errors.New("full")
-
-// memory has room for a number of bytes.
-type memory struct{ room, held, most int64 }
-
-func (m *memory) Hold(n int64) error {
-	if m.held+n > m.room {
-		return errFull
-	}
-	m.held += n
-	m.most = max(m.most, m.held)
-	return nil
-}
-
-func (m *memory) Release(n int64) { m.held -= n }
-
 // Guards against large headers that are not charged, against charges that are not
 // released, and against charges for ordinary headers.
 func TestLargeHeadersAreCharged(t *testing.T) {
@@ -41,14 +26,14 @@
 		addr, _ := startServer(t, func(int) string {
 			return "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", c.fields) + "Content-Length: 2\r\n\r\nok"
 		})
-		p, m := newPool(t, kcclock.NewManual(1000)), &memory{room: c.room}
+		p, m := newPool(t, kcclock.NewManual(1000)), &kcfault.Memory{Room: c.room}
 		for range 2 {
 			body, err := send(p, addr, kcconn.Request{Memory: m})
-			if fits := err == nil && body == "ok"; fits != c.fits || !fits && !errors.Is(err, errFull) {
+			if fits := err == nil && body == "ok"; fits != c.fits || !fits && !errors.Is(err, kcfault.ErrFull) {
 				t.Errorf("%s: %q, %v", name, body, err)
 			}
-			if m.held != 0 || c.charged != (m.most > 0) {
-				t.Errorf("%s: %d bytes stay charged, at most %d were", name, m.held, m.most)
+			if m.Held != 0 || c.charged != (m.Most > 0) {
+				t.Errorf("%s: %d bytes stay charged, at most %d were", name, m.Held, m.Most)
 			}
 		}
 	}
--- a/internal/kcledger/book.go
+++ b/internal/kcledger/book.go
@@ -55,6 +55,8 @@
 	phase phase
 	// served is true once the connection has carried a complete request.
 	served bool
+	// requests is the number of requests that have ended.
+	requests uint64
 	// startedAt is when the current request began to arrive.
 	startedAt kcclock.Millis
 	// progressAt is when the last progressBytes had arrived, received what arrived
@@ -283,6 +285,7 @@
 	case waiting:
 		b.shrink(a, a.held)
 		a.served = true
+		a.requests++
 	case running:
 		if a.ended {
 			a.ended = false
--- a/internal/kcledger/ledger.go
+++ b/internal/kcledger/ledger.go
@@ -133,14 +133,28 @@
 
 // Caller is the caller of a request. A nil Caller, that of a request that did not
 // arrive on a connection of the ledger, is not bounded.
-type Caller struct{ c *conn }
+type Caller struct {
+	c *conn
+	// request is the number of the request on its connection. Charges end with it.
+	request uint64
+}
 
-// CallerOf returns the caller of the request with a context.
+// CallerOf returns the caller of the request with a context, which must not have ended.
 func CallerOf(ctx context.Context) *Caller {
-	if c, _ := ctx.Value(contextKey{}).(*conn); c != nil {
-		return &Caller{c}
+	c, _ := ctx.Value(contextKey{}).(*conn)
+	if c == nil {
+		return nil
 	}
-	return nil
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	return &Caller{c, c.a.requests}
+}
+
+// hasEnded reports whether the request has ended, and its charges with it.
+func (k *Caller) hasEnded() bool {
+	k.c.l.mu.Lock()
+	defer k.c.l.mu.Unlock()
+	return k.c.a.requests != k.request
 }
 
 // ReadBody reads a body to its end. The buffer grows with what arrives; most is
@@ -188,9 +202,9 @@
 }
 
 // Hold charges bytes that are needed in addition, such as copies of a body. It
-// returns ErrShort if there is no room.
+// returns ErrShort if there is no room. It does nothing after the end of the request.
 func (k *Caller) Hold(n int64) error {
-	if k == nil || n == 0 || k.c.l.grow(k.c.a, n, true) {
+	if k == nil || n == 0 || k.hasEnded() || k.c.l.grow(k.c.a, n, true) {
 		return nil
 	}
 	k.c.l.record(eventRefused)
@@ -207,9 +221,10 @@
 	k.c.l.book.keep(k.c.a, n)
 }
 
-// Release releases bytes that Hold has charged.
+// Release releases bytes that Hold has charged. It does nothing after the end of the
+// request, since the next one on the connection has charges of its own.
 func (k *Caller) Release(n int64) {
-	if k != nil {
+	if k != nil && n > 0 && !k.hasEnded() {
 		k.c.l.shrink(k.c.a, n)
 	}
 }
--- a/internal/kcledger/ledger_test.go
+++ b/internal/kcledger/ledger_test.go
@@ -120,3 +120,59 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a response that is read to its end after its request, and whose release
+// then takes the charge of the next request on the connection.
+func TestReleaseAfterTheRequestChangesNothing(t *testing.T) {
+	var used func() int64
+	l := kcledger.New(kcledger.Options{
+		Limits: kcledger.Limits{LedgerBytes: 8 << 20, MaxConns: 10}, Clock: kcclock.System{}, Log: slog.New(slog.DiscardHandler),
+		Count: func(string) {},
+		Gauge: func(name string, read func() int64) {
+			if name == "memory.ledgerBytes" {
+				used = read
+			}
+		},
+	})
+	const n = 100 << 10
+	var earlier *kcledger.Caller
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		caller := kcledger.CallerOf(r.Context())
+		if err := caller.Hold(n); err != nil {
+			t.Error(err)
+		}
+		if earlier == nil {
+			earlier = caller
+			return
+		}
+		before := used()
+		earlier.Release(n)
+		if err := earlier.Hold(n); err != nil {
+			t.Error(err)
+		}
+		if got := used(); got != before {
+			t.Errorf("%d bytes are charged, want %d", got, before)
+		}
+		caller.Release(n)
+		if got := used(); got != before-n {
+			t.Errorf("%d bytes are charged after the release, want %d", got, before-n)
+		}
+	})}
+	l.Attach(s)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l.Listener(ln)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	t.Cleanup(client.CloseIdleConnections)
+	for range 2 {
+		resp, err := client.Get("http://" + ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/kcresponse/transport_test.go
+++ b/internal/kcresponse/transport_test.go
@@ -11,22 +11,6 @@
 	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 )
 
-var errFull = errors.New("full")
-
-// memory has room for a number of bytes.
-type memory struct{ room, held, most int64 }
-
-func (m *memory) Hold(n int64) error {
-	if m.held+n > m.room {
-		return errFull
-	}
-	m.held += n
-	m.most = max(m.most, m.held)
-	return nil
-}
-
-func (m *memory) Release(n int64) { m.held -= n }
-
 // Guards against large heads that are not charged, against charges that are not released,
 // and against charges for ordinary heads.
 func TestLargeHeadsAreCharged(t *testing.T) {
@@ -42,24 +26,24 @@
 		t.Run(name, func(t *testing.T) {
 			response := "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", c.fields) + "Content-Length: {length}\r\n\r\n{body}"
 			s := kcfault.NewServer(t, kcfault.Case{Response: response, End: kcfault.Keep}, "", "body")
-			m := &memory{room: c.room}
+			m := &kcfault.Memory{Room: c.room}
 			transport := kcresponse.NewTransport(&http.Transport{})
 			transport.MemoryOf = func(context.Context) kcresponse.Memory { return m }
 			t.Cleanup(transport.CloseIdleConnections)
 			client := http.Client{Transport: transport}
 			for range 2 {
 				resp, err := client.Get("http://" + s.Addr)
-				if fits := err == nil; fits != c.fits || !fits && !errors.Is(err, errFull) {
+				if fits := err == nil; fits != c.fits || !fits && !errors.Is(err, kcfault.ErrFull) {
 					t.Errorf("error %v, want a response: %v", err, c.fits)
 				}
 				if err == nil {
-					if held := m.held > 0; held != c.charged {
-						t.Errorf("%d bytes are charged", m.held)
+					if held := m.Held > 0; held != c.charged {
+						t.Errorf("%d bytes are charged", m.Held)
 					}
 					_ = resp.Body.Close()
 				}
-				if m.held != 0 || c.charged != (m.most > 0) {
-					t.Errorf("%d bytes stay charged, at most %d were", m.held, m.most)
+				if m.Held != 0 || c.charged != (m.Most > 0) {
+					t.Errorf("%d bytes stay charged, at most %d were", m.Held, m.Most)
 				}
 			}
 		})
