--- a/internal/kcfault/server.go
+++ b/internal/kcfault/server.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -45,18 +45,13 @@
 	header string
 
 	requests, flooded atomic.Int64
-
-	mu sync.Mutex
-	// conns are the open connections. It is nil once the server has ended.
-	conns   map[net.Conn]struct{}
-	running sync.WaitGroup
 }
 
 // NewServer starts a server that runs until the end of the test. header holds the
 // lines that the head of a sound response needs, body is its body.
 func NewServer(tb testing.TB, c Case, header, body string) *Server {
 	tb.Helper()
-	s := &Server{Case: c, header: header, body: body, conns: make(map[net.Conn]struct{})}
+	s := &Server{Case: c, header: header, body: body}
 	cfg := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var setErr error
 		err := raw.Control(func(fd uintptr) {
@@ -72,47 +67,31 @@
 		tb.Fatal(err)
 	}
 	s.Addr = ln.Addr().String()
-	s.running.Go(func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if s.add(nc) {
-				s.running.Go(func() { s.serve(nc) })
-			}
-		}
-	})
-	tb.Cleanup(func() { _ = ln.Close(); s.closeConns(); s.running.Wait() })
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.accept(tb.Context(), ln)
+	}()
+	tb.Cleanup(func() { _ = ln.Close(); <-ended })
 	return s
 }
 
-// add keeps an open connection. It closes the connection and returns false if the
-// server has ended.
-func (s *Server) add(nc net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.conns == nil {
-		_ = nc.Close()
-		return false
-	}
-	s.conns[nc] = struct{}{}
-	return true
-}
-
-func (s *Server) closeConns() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for nc := range s.conns {
-		_ = nc.Close()
+// accept serves connections until the listener is closed, and waits for their ends.
+func (s *Server) accept(ctx context.Context, ln net.Listener) {
+	ended := make(chan struct{})
+	for running := 0; ; running++ {
+		nc, err := ln.Accept()
+		if err != nil {
+			for range running {
+				<-ended
+			}
+			return
+		}
+		go func() {
+			s.serve(ctx, nc)
+			ended <- struct{}{}
+		}()
 	}
-	s.conns = nil
-}
-
-func (s *Server) remove(nc net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, nc)
 }
 
 // Requests returns the number of requests that have come.
@@ -121,9 +100,9 @@
 // FloodedBytes returns the number of bytes of all floods that clients have taken.
 func (s *Server) FloodedBytes() int64 { return s.flooded.Load() }
 
-// serve answers the requests of one connection.
-func (s *Server) serve(nc net.Conn) {
-	defer s.remove(nc)
+// serve answers the requests of one connection until ctx ends.
+func (s *Server) serve(ctx context.Context, nc net.Conn) {
+	defer context.AfterFunc(ctx, func() { _ = nc.Close() })()
 	defer func() { _ = nc.Close() }()
 	br := bufio.NewReader(nc)
 	for {
--- a/internal/kcresponse/head.go
+++ b/internal/kcresponse/head.go
@@ -27,14 +27,14 @@
 func CheckHead(resp *http.Response) error {
 	switch {
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
-		return errs.New("the response has the invalid status %q", resp.Status)
+		return errs.New("the response has the invalid status %.64q", resp.Status)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return errs.New("the response switches protocols, which the request has not asked for")
 	}
 	for name := range resp.Header {
 		// net/http accepts blanks. A field such as "Content-Length " is then no length.
 		if !httpguts.ValidHeaderFieldName(name) {
-			return errs.New("the name %q of a field of the response is not valid", name)
+			return errs.New("the name %.64q of a field of the response is not valid", name)
 		}
 	}
 	return nil
