kcresponse: Bound the text of errors that quote a response

What could happen: an upstream that writes long lines which are no response or no field made the instance write a log line of 300 KB for each attempt. Up to 2,048 lines wait for a slow reader of the log, so that they could take the memory of the machine (not played).

Cause: net/http quotes the line in its error, each byte in four characters, and the log quotes it once more.

Change: errors of a response are cut to 256 bytes, at both doors and in all clients that use kcresponse. The tests bound the logs of a request to 4 KiB and the text of an error to 1 KiB.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -116,7 +116,7 @@
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, kcresponse.BoundError(err)
 		}
 		if err := kcresponse.CheckHead(resp); err != nil {
 			return nil, err
--- a/internal/kcfault/cases.go
+++ b/internal/kcfault/cases.go
@@ -64,6 +64,21 @@
 	return cases
 }
 
+// parseText returns the text of a string of Go, which may stand behind the number of its
+// repetitions.
+func parseText(arg string) (string, error) {
+	n := 1
+	if count, rest, _ := strings.Cut(arg, " "); strings.Trim(count, "0123456789") == "" {
+		var err error
+		if n, err = strconv.Atoi(count); err != nil {
+			return "", err
+		}
+		arg = rest
+	}
+	text, err := strconv.Unquote(arg)
+	return strings.Repeat(text, n), err
+}
+
 func parseCase(f txtar.File) (Case, error) {
 	c := Case{Name: f.Name, End: Close}
 	for line := range strings.Lines(string(f.Data)) {
@@ -81,7 +96,7 @@
 			c.End = End(arg)
 		case "send", "flood":
 			var text string
-			text, err = strconv.Unquote(arg)
+			text, err = parseText(arg)
 			if word == "flood" {
 				c.Flood += text
 			} else {
--- a/internal/kcgate/broken_test.go
+++ b/internal/kcgate/broken_test.go
@@ -45,6 +45,9 @@
 	return resp.StatusCode, string(raw), err
 }
 
+// maxLogBytes is the size of all log lines of one request, with three attempts.
+const maxLogBytes = 4 << 10
+
 // Guards against a broken response of an engine that a caller gets as complete, and
 // against a sound one that it does not get.
 func TestBrokenResponsesAreNotForwarded(t *testing.T) {
@@ -67,6 +70,9 @@
 				if complete != c.Sound || c.Sound && got != body {
 					t.Errorf("status %d, %.80q, error %v: complete %v, want %v\n%s", status, got, err, complete, c.Sound, f.logs)
 				}
+				if n := len(f.logs.String()); n > maxLogBytes {
+					t.Errorf("%d bytes of logs for one request", n)
+				}
 				if err == nil && !c.Sound && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
 					t.Errorf("status %d: want one that promises nothing", status)
 				}
--- a/internal/kcresponse/head.go
+++ b/internal/kcresponse/head.go
@@ -39,3 +39,17 @@
 	}
 	return nil
 }
+
+// maxErrorText is the size in bytes of the text of an error that quotes a response. The
+// errors of connections, which callers tell apart, are shorter.
+const maxErrorText = 256
+
+// BoundError returns err, or an error with the beginning of its text if that is long.
+// net/http quotes lines that it does not understand, up to the limit on heads, and
+// errors are logged.
+func BoundError(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return errs.New("%s…", text[:maxErrorText])
+	}
+	return err
+}
--- a/internal/kcresponse/transport.go
+++ b/internal/kcresponse/transport.go
@@ -74,7 +74,7 @@
 	}
 	if err != nil {
 		head.Release()
-		return nil, err
+		return nil, BoundError(err)
 	}
 	if err := CheckHead(resp); err != nil {
 		head.Release()
--- a/internal/kcupstream/broken_test.go
+++ b/internal/kcupstream/broken_test.go
@@ -17,6 +17,8 @@
 	brokenTimeoutMs = 10 * kcclock.Second
 	// resumeTimeoutMs ends the resumes of a stream whose responses are all broken.
 	resumeTimeoutMs = 500 * kcclock.Millisecond
+	// maxErrorText is the size of the text of an error, which is logged.
+	maxErrorText = 1 << 10
 	// brokenMaxBytes is below what a flood sends until then.
 	brokenMaxBytes = 1 << 20
 )
@@ -48,6 +50,9 @@
 				if complete := res.Err == nil; complete != c.Sound || !res.Sent {
 					t.Errorf("%d %.80q, error %v, sent %v: complete %v, want %v", res.Status, res.Body, res.Err, res.Sent, complete, c.Sound)
 				}
+				if res.Err != nil && len(res.Err.Error()) > maxErrorText {
+					t.Errorf("the text of the error has %d bytes", len(res.Err.Error()))
+				}
 				if c.Sound && (string(res.Body) != body || res.Status != http.StatusOK) {
 					t.Errorf("%d %.80q, want the whole body", res.Status, res.Body)
 				}
