kcedge: Wait for the answers to the requests that a stop ends

The answers to requests that outlast a planned stop had 150 ms between the end of their attempts and the close of their connections, together with the end of the background loops. They have 150 ms of their own now; both waits and 0.1 s for the exit fit into the 0.4 s that are reserved.

--- a/internal/kcedge/stop.go
+++ b/internal/kcedge/stop.go
@@ -14,8 +14,8 @@
 	// exitReserveMs is the part of the grace period that is reserved for the exit
 	// of the process.
 	exitReserveMs = 400 * kcclock.Millisecond
-	// lastAnswersMs is the part of exitReserveMs in which refusals are still
-	// written.
+	// lastAnswersMs is a part of exitReserveMs. It bounds the wait for the answers to
+	// the requests that are ended, and the one for refusals that are still written.
 	lastAnswersMs = 150 * kcclock.Millisecond
 )
 
@@ -50,5 +50,8 @@
 	defer cancel()
 	e.gate.Drain(ctx)
 	e.gate.EndRunning()
+	answers, cancelAnswers := kcclock.WithTimeout(context.Background(), clock, lastAnswersMs)
+	defer cancelAnswers()
+	e.gate.Drain(answers)
 	e.conns.closeIdle(1)
 }
