kcconn: Record how responses without framing have come and ended

The attempts in the line of a request have via= and unframed,server= now, and counters tell the outcomes of the checks and of the tunnels. EndCheck tells a server that could not be asked from one that lives; both still count as lives, so responses are judged as before.

--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -64,6 +64,8 @@
 	requestID       string
 	stopCancelWatch func() bool
 	finished        bool
+	// serverAtEnd is what CheckEnd has found, empty for responses with framing.
+	serverAtEnd Liveness
 }
 
 const (
--- a/internal/kcconn/ended.go
+++ b/internal/kcconn/ended.go
@@ -11,6 +11,17 @@
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
+// Liveness is what is known about a server.
+type Liveness string
+
+// Values of Liveness, as in logs and metrics.
+const (
+	Lives Liveness = "lives"
+	Ended Liveness = "ended"
+	// Unknown means that the server could not be asked.
+	Unknown Liveness = "unknown"
+)
+
 // EndCheck finds out whether a server has ended.
 type EndCheck struct {
 	// Dial opens a connection to the server.
@@ -26,32 +37,34 @@
 // was closed or reset. A server at its limit of connections does that as well.
 var endCheckPausesMs = []kcclock.Millis{0, 10, 30, 90}
 
-// Run reports whether the server has ended. The kernel closes the connections and
+// Run returns whether the server lives. The kernel closes the connections and
 // the listener of a process one after the other, so a connection that is accepted
 // says nothing by itself: it has to stay open, or the server has to answer. A
 // connection that stays open without an answer is returned if there was no probe.
-func (e EndCheck) Run(ctx context.Context) (ended bool, open net.Conn) {
+func (e EndCheck) Run(ctx context.Context) (found Liveness, open net.Conn) {
 	for _, pause := range endCheckPausesMs {
 		if pause > 0 && kcclock.Wait(ctx, kcclock.System{}, pause) != nil {
-			return false, nil
+			return Unknown, nil
 		}
 		nc, err := e.Dial(ctx)
 		switch {
 		case errors.Is(err, syscall.ECONNRESET):
 			continue
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return Ended, nil
 		case err != nil:
-			return errors.Is(err, syscall.ECONNREFUSED), nil
+			return Unknown, nil
 		}
 		lives := e.livesBehind(ctx, nc)
 		if lives && len(e.Probe) == 0 {
-			return false, nc
+			return Lives, nc
 		}
 		_ = nc.Close()
 		if lives {
-			return false, nil
+			return Lives, nil
 		}
 	}
-	return false, nil
+	return Lives, nil // it closes or resets all connections, as at its limit
 }
 
 // livesBehind reports whether the server answers on a connection or keeps it open.
--- a/internal/kcconn/pool.go
+++ b/internal/kcconn/pool.go
@@ -42,6 +42,9 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// OnDial, if set, is called after each attempt to open a connection.
 	OnDial func(addr string, err error)
+	// OnUnframedEnd, if set, is called when the end of a response without framing was
+	// checked. via is the address of the peer that has passed its connection on, or empty.
+	OnUnframedEnd func(via string, upstream Liveness)
 }
 
 // Pool holds idle connections by address.
@@ -162,12 +165,12 @@
 	return false
 }
 
-// HasEnded reports whether the server at addr has ended, as EndCheck does. probePath,
+// Liveness returns whether the server at addr lives, as EndCheck does. probePath,
 // if set, is the path of a request that the server answers without running anything.
 // Without one, a connection that stays open is kept for the next request.
-func (p *Pool) HasEnded(ctx context.Context, addr, probePath string, settle kcclock.Millis) bool {
+func (p *Pool) Liveness(ctx context.Context, addr, probePath string) Liveness {
 	var c *conn
-	check := EndCheck{SettleMs: settle, Dial: func(ctx context.Context) (net.Conn, error) {
+	check := EndCheck{SettleMs: endSettleMs, Dial: func(ctx context.Context) (net.Conn, error) {
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
 			return nil, err
@@ -177,12 +180,12 @@
 	if probePath != "" {
 		check.Probe = []byte("GET " + probePath + " HTTP/1.1\r\nHost: " + addr + "\r\nConnection: close\r\n\r\n")
 	}
-	ended, open := check.Run(ctx)
+	found, open := check.Run(ctx)
 	if open != nil {
 		p.putIdle(c)
 		c.reused = false
 	}
-	return ended
+	return found
 }
 
 // putIdle adds a connection to the pool, or closes it if it has unread data or
--- /dev/null
+++ b/internal/kcconn/response_end.go
@@ -0,0 +1,55 @@
+package kcconn
+
+import (
+	"context"
+	"net"
+
+	"github.com/zeebo/errs"
+
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// endSettleMs is how long a new connection to a server has to stay open without an
+// answer before the end of a response without framing counts as its end.
+const endSettleMs = 250 * kcclock.Millisecond
+
+var errCrashedAtEnd = errs.New("the upstream has ended with a response without framing")
+
+// CheckEnd returns an error if the body of a response may be incomplete although its
+// connection was closed cleanly: it has no framing, and the server has ended, as planned
+// or not. A whole response looks the same if its server ends right after it. probePath
+// is that of Pool.Liveness.
+func (r *Response) CheckEnd(ctx context.Context, probePath string) error {
+	if r.Framed() {
+		return nil
+	}
+	r.serverAtEnd = r.pool.Liveness(ctx, r.conn.addr, probePath)
+	if r.pool.opts.OnUnframedEnd != nil {
+		r.pool.opts.OnUnframedEnd(viaOf(r.conn.Conn), r.serverAtEnd)
+	}
+	if r.serverAtEnd == Ended {
+		return errCrashedAtEnd
+	}
+	return nil
+}
+
+// Path describes how the response has come, for logs: the peer that has passed its
+// connection on, and what CheckEnd has found. It is empty for most responses.
+func (r *Response) Path() string {
+	path := ""
+	if via := viaOf(r.conn.Conn); via != "" {
+		path = ",via=" + via
+	}
+	if r.serverAtEnd != "" {
+		path += ",unframed,server=" + string(r.serverAtEnd)
+	}
+	return path
+}
+
+// viaOf returns the address of the peer that passes a connection on, or "".
+func viaOf(nc net.Conn) string {
+	if t, ok := nc.(interface{ Via() string }); ok {
+		return t.Via()
+	}
+	return ""
+}
--- a/internal/kcdetour/relay.go
+++ b/internal/kcdetour/relay.go
@@ -176,12 +176,23 @@
 // they are. Whatever ends the connection of the peer ends that to the upstream.
 func (r *Relay) pass(p *passage) {
 	toUpstream := make(chan struct{})
+	var peerEnded atomic.Bool
 	go func() {
 		defer close(toUpstream)
-		_ = r.copy(p, p.far, p.near)
+		if r.copy(p, p.far, p.near) == nil {
+			peerEnded.Store(true)
+		}
 		_ = p.far.Close()
 	}()
 	err := r.copy(p, p.near, p.far)
+	switch {
+	case err == nil:
+		r.count("relay.ended.upstream")
+	case peerEnded.Load():
+		r.count("relay.ended.peer")
+	default:
+		r.count("relay.ended.broken")
+	}
 	if err == nil {
 		// The end of the response must not overtake it.
 		if tcp, ok := p.near.(*net.TCPConn); ok {
@@ -251,6 +262,7 @@
 	for p := range r.tunnels {
 		if now-p.activeAt.Load() >= int64(closeIdleMs) {
 			p.close()
+			r.count("relay.ended.idle")
 		}
 	}
 	return len(r.tunnels)
--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -152,6 +152,7 @@
 		Clock: clock, DialTimeoutMs: dialTimeoutMs, UnackedTimeoutMs: unackedTimeoutMs,
 		IdleTimeoutMs: upstreamIdleTimeoutMs, MaxIdlePerAddr: maxIdlePerUpstream,
 		RequestIDHeader: kcplatform.HeaderRequestID, OnDial: e.countDial, Dial: e.detours.Dial,
+		OnUnframedEnd: e.countUnframedEnd,
 	})
 	e.storePool = kcconn.NewPool(kcconn.Options{
 		Clock: clock, DialTimeoutMs: dialTimeoutMs, UnackedTimeoutMs: unackedTimeoutMs,
@@ -221,6 +222,15 @@
 	e.metrics.Count("upstream.dials")
 }
 
+// countUnframedEnd counts the end of a response without framing.
+func (e *Edge) countUnframedEnd(via string, upstream kcconn.Liveness) {
+	name := "upstream.unframedEnd."
+	if via != "" {
+		name = "upstream.unframedEnd.detoured."
+	}
+	e.metrics.Count(name + string(upstream))
+}
+
 func (e *Edge) countStoreCall(name string, err error) {
 	e.metrics.Count("store." + name)
 	if err != nil {
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -36,11 +36,11 @@
 		body, whole, err = kcledger.CallerOf(x.r.Context()).ReadAnswer(resp.Body, maxBufferedBytes)
 	}
 	if err == nil && whole {
-		err = x.checkEnd(ctx, c, resp)
+		err = x.checkEnd(ctx, resp)
 	}
 	if err != nil {
 		resp.Abort()
-		finish(maybeRan, "body: "+err.Error())
+		finish(maybeRan, "body: "+err.Error()+resp.Path())
 		x.releaseInterrupted(ctx, c)
 		return resultNoAnswer
 	}
@@ -67,9 +67,9 @@
 		x.writeHeader(resp.StatusCode, len(body))
 		_, err = x.w.Write(body)
 	} else {
-		x.forwardLongBody(ctx, c, resp, body)
+		x.forwardLongBody(ctx, resp, body)
 	}
-	detail := itoa(resp.StatusCode)
+	detail := itoa(resp.StatusCode) + resp.Path()
 	if err != nil {
 		detail += ", " + err.Error()
 	}
@@ -89,7 +89,7 @@
 
 // forwardLongBody forwards a response as it arrives. read is the part that is
 // already read.
-func (x *exchange) forwardLongBody(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, read []byte) {
+func (x *exchange) forwardLongBody(ctx context.Context, resp *kcconn.Response, read []byte) {
 	resp.OnReadTimeout(nil) // no other upstream can take over any more
 	x.writeHeader(resp.StatusCode, int(resp.ContentLength))
 	_, err := x.w.Write(read)
@@ -101,7 +101,7 @@
 		_, err = io.Copy(x.w, resp.Body)
 	}
 	if err == nil {
-		err = x.checkEnd(ctx, c, resp)
+		err = x.checkEnd(ctx, resp)
 	}
 	if err != nil {
 		resp.Abort()
@@ -179,7 +179,7 @@
 	interruption := x.relayEvents(ctx, c, resp, &last, &x.attempts[len(x.attempts)-1])
 	switch {
 	case interruption == nil:
-		finish(ran, "events="+itoa(x.events))
+		finish(ran, "events="+itoa(x.events)+resp.Path())
 		x.g.Upstreams.release(c, outcomeGood)
 		x.g.Upstreams.recordAnswer(c, false)
 		x.recordOutcome(c, false)
@@ -190,7 +190,7 @@
 		x.reason = reasonCallerLeft
 		panic(http.ErrAbortHandler)
 	}
-	finish(maybeRan, interruption.Error())
+	finish(maybeRan, interruption.Error()+resp.Path())
 	x.releaseInterrupted(ctx, c)
 	if !x.headerWritten {
 		return resultNoAnswer
@@ -218,7 +218,7 @@
 		}
 		ev, err := rd.Next()
 		if errors.Is(err, io.EOF) {
-			if err := x.checkStreamEnd(ctx, c, resp, *last); err != nil {
+			if err := x.checkStreamEnd(ctx, resp, *last); err != nil {
 				resp.Abort()
 				return err
 			}
@@ -252,33 +252,21 @@
 	}
 }
 
-var (
-	errCrashedAtEnd = errs.New("the upstream has ended with a response without framing")
-	errEmptyStream  = errs.New("a stream without framing ended before its first event")
-)
-
-// endSettleMs is how long a new connection to an upstream has to stay open without
-// an answer before the end of a response without framing counts as its end.
-const endSettleMs = 250 * kcclock.Millisecond
+var errEmptyStream = errs.New("a stream without framing ended before its first event")
 
-// checkEnd returns an error if the body of a response may be incomplete although
-// its connection was closed cleanly: it has no framing, and the upstream has ended,
-// as planned or not. A whole response looks the same if its upstream ends right
-// after it.
-func (x *exchange) checkEnd(ctx context.Context, c *pickedUpstream, resp *kcconn.Response) error {
-	if resp.Framed() || !x.g.Pool.HasEnded(ctx, c.Address, x.table.HealthPaths[x.service], endSettleMs) {
-		return nil
-	}
-	return errCrashedAtEnd
+// checkEnd returns an error if the body of a response may be incomplete although its
+// connection was closed cleanly.
+func (x *exchange) checkEnd(ctx context.Context, resp *kcconn.Response) error {
+	return resp.CheckEnd(ctx, x.table.HealthPaths[x.service])
 }
 
 // checkStreamEnd does the same for a stream. last is the id of the last event that
 // was forwarded, or -1.
-func (x *exchange) checkStreamEnd(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last int64) error {
+func (x *exchange) checkStreamEnd(ctx context.Context, resp *kcconn.Response, last int64) error {
 	if !resp.Framed() && x.events == 0 && last < 0 {
 		return errEmptyStream
 	}
-	return x.checkEnd(ctx, c, resp)
+	return x.checkEnd(ctx, resp)
 }
 
 // countEvent counts an event of an attempt, and records what the first ones tell.
@@ -387,7 +375,7 @@
 		return false
 	}
 	if err := x.relayEvents(ctx, c, resp, last, &s); err != nil {
-		s.detail = err.Error()
+		s.detail = err.Error() + resp.Path()
 		if errors.Is(err, errCallerGone) {
 			x.g.Upstreams.release(c, outcomeNeutral)
 			x.reason = reasonCallerLeft
@@ -396,7 +384,7 @@
 		x.releaseInterrupted(ctx, c)
 		return false
 	}
-	s.execution, s.detail = ran, "resumed to the end"
+	s.execution, s.detail = ran, "resumed to the end"+resp.Path()
 	x.g.Upstreams.release(c, outcomeGood)
 	return true
 }
--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -270,11 +270,11 @@
 	check := kcconn.EndCheck{SettleMs: endSettleMs, Dial: func(ctx context.Context) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
 	}}
-	ended, open := check.Run(ctx)
+	found, open := check.Run(ctx)
 	if open != nil {
 		_ = open.Close()
 	}
-	return ended
+	return found == kcconn.Ended
 }
 
 func (c *Client) reportResult(callerCtx context.Context, t Target, resp *http.Response, err error) {
