kcdetour: Mark the end of an upstream in tunnels

Cause: a tunnel carried bare bytes. The kernel closes the connections of a peer that is killed or stopped as it closes those of an upstream that has written its response, and a stop closes quiet tunnels in the same way. A response without framing ends with its connection; the check behind that asks whether the upstream has ended, and it lives.

The bytes of the upstream are sent in frames now, and an empty frame tells that the upstream has ended its connection in order. Without it the end of a tunnel is an error, whatever has ended it. Frames are agreed on in the Upgrade header, so builds before and after understand each other. A peer that does not send frames cannot tell the end of an upstream: the end of its tunnels is always an error, so whole responses without framing fail through it. An instance that does not ask for frames gets a tunnel that is reset at its end, also by the kernel, unless the upstream has ended.

TestEndOfPeerIsNotTheEndOfTheUpstream and TestEndOfRelayResetsTunnelsWithoutFrames failed before. Two bytes more for each read of a relay, none without a tunnel.

--- a/internal/kcdetour/dialer.go
+++ b/internal/kcdetour/dialer.go
@@ -53,8 +53,9 @@
 
 // Dialer opens connections to upstreams: connections of its own or, while these fail,
 // tunnels through a peer. A tunnel carries the bytes as they are, so that nothing of a
-// request depends on the way that its connection takes. A peer passes a tunnel on to
-// the upstream only, never to another peer.
+// request depends on the way that its connection takes. It ends with io.EOF only if the
+// upstream has ended its connection in order. A peer passes a tunnel on to the upstream
+// only, never to another peer.
 type Dialer struct {
 	Clock kcclock.Clock
 	Log   *slog.Logger
@@ -92,15 +93,6 @@
 	probeAt kcclock.Millis
 }
 
-// tunnel is a connection to an upstream through a peer.
-type tunnel struct {
-	*net.TCPConn
-	peer string
-}
-
-// Via returns the address of the peer.
-func (t tunnel) Via() string { return t.peer }
-
 // way is the outcome of one way to an upstream.
 type way struct {
 	conn net.Conn
@@ -400,7 +392,7 @@
 		return nil, errs.New("the connection to peer %s is no TCP connection", peer.Addr)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = tcp.SetDeadline(time.Now()) })
-	err = requestTunnel(tcp, peer, addr)
+	framed, err := requestTunnel(tcp, peer, addr)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -408,32 +400,32 @@
 		_ = tcp.Close()
 		return nil, err
 	}
-	return tunnel{tcp, peer.Addr}, nil
+	return &tunnel{Conn: tcp, tcp: tcp, peer: peer.Addr, framed: framed}, nil
 }
 
-// requestTunnel asks a peer for a tunnel and reads its response. The peer sends nothing
-// else before this side does.
-func requestTunnel(tcp *net.TCPConn, peer Peer, addr string) error {
+// requestTunnel asks a peer for a tunnel and reads its response. It reports whether the
+// peer sends frames. The peer sends nothing else before this side does.
+func requestTunnel(tcp *net.TCPConn, peer Peer, addr string) (framed bool, err error) {
 	query := url.Values{instanceParam: {peer.ID}}
-	_, err := io.WriteString(tcp, "GET "+TunnelPath+addr+"?"+query.Encode()+" HTTP/1.1\r\nHost: "+peer.Addr+
-		"\r\nConnection: Upgrade\r\nUpgrade: "+tunnelProtocol+"\r\n\r\n")
+	_, err = io.WriteString(tcp, "GET "+TunnelPath+addr+"?"+query.Encode()+" HTTP/1.1\r\nHost: "+peer.Addr+
+		"\r\nConnection: Upgrade\r\nUpgrade: "+framedProtocol+", "+bareProtocol+"\r\n\r\n")
 	if err != nil {
-		return err
+		return false, err
 	}
 	br := bufio.NewReader(io.LimitReader(tcp, maxHeadBytes))
 	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	_ = resp.Body.Close() // of the head alone: the connection is closed or becomes the tunnel
 	if resp.StatusCode == http.StatusSwitchingProtocols && br.Buffered() == 0 {
-		return nil
+		return resp.Header.Get("Upgrade") == framedProtocol, nil
 	}
 	switch Failure(resp.Header.Get(failureHeader)) {
 	case Refused:
-		return errUpstreamRefuses
+		return false, errUpstreamRefuses
 	case TimedOut, Reset, Other:
-		return errUpstreamUnreached
+		return false, errUpstreamUnreached
 	}
-	return errs.New("the peer answered with status %d (%s)", resp.StatusCode, resp.Header.Get(failureHeader))
+	return false, errs.New("the peer answered with status %d (%s)", resp.StatusCode, resp.Header.Get(failureHeader))
 }
--- /dev/null
+++ b/internal/kcdetour/passage.go
@@ -0,0 +1,181 @@
+package kcdetour
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+const (
+	// copyBufferBytes is the buffer of one direction: a few events, or two packets.
+	copyBufferBytes = 8 << 10
+	// lingerMs is how long the rest of a request is read after its upstream has closed
+	// the connection, so that the response is not lost with it.
+	lingerMs = 1000 * kcclock.Millisecond
+)
+
+// passageEnd is what has ended a passage, as in metrics.
+type passageEnd string
+
+// Values of passageEnd.
+const (
+	endedByUpstream passageEnd = "upstream"
+	endedByPeer     passageEnd = "peer"
+	// endedBroken: a connection was reset, or fell silent.
+	endedBroken passageEnd = "broken"
+)
+
+// passage is one tunnel at the relay: the connection of a peer and the one to the
+// upstream.
+type passage struct {
+	clock     kcclock.Clock
+	near, far net.Conn
+	// framed is false if the peer does not know frames.
+	framed bool
+	// activeAt is when a byte has passed last.
+	activeAt atomic.Int64
+	// peerEnded is true once the peer has ended its connection.
+	peerEnded atomic.Bool
+}
+
+// acceptsFrames reports whether the peer that asks for a tunnel knows frames.
+func acceptsFrames(req *http.Request) bool {
+	for name := range strings.SplitSeq(req.Header.Get("Upgrade"), ",") {
+		if strings.TrimSpace(name) == framedProtocol {
+			return true
+		}
+	}
+	return false
+}
+
+func newPassage(clock kcclock.Clock, near, far net.Conn, framed bool) *passage {
+	p := &passage{clock: clock, near: near, far: far, framed: framed}
+	p.activeAt.Store(int64(clock.Now()))
+	if !framed {
+		p.resetAtEnd(true)
+	}
+	return p
+}
+
+// protocol returns the protocol that the connection of the peer changes to.
+func (p *passage) protocol() string {
+	if p.framed {
+		return framedProtocol
+	}
+	return bareProtocol
+}
+
+// resetAtEnd sets whether the connection of the peer is reset when it is closed, also
+// by the kernel after the end of this process.
+func (p *passage) resetAtEnd(reset bool) {
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := p.near.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(linger)
+	}
+}
+
+// close closes both connections.
+func (p *passage) close() { _, _ = p.near.Close(), p.far.Close() }
+
+// run passes bytes on until either side ends. The end and the reset of the upstream
+// reach the peer as what they are. Whatever ends the connection of the peer ends that to
+// the upstream.
+func (p *passage) run() passageEnd {
+	toUpstream := make(chan struct{})
+	go func() {
+		defer close(toUpstream)
+		p.passRequests()
+		_ = p.far.Close()
+	}()
+	if err := p.passResponses(); err != nil {
+		p.resetAtEnd(true)
+		p.close()
+		<-toUpstream
+		if p.peerEnded.Load() {
+			return endedByPeer
+		}
+		return endedBroken
+	}
+	end := endedBroken
+	if p.writeEnd() == nil {
+		end = endedByUpstream
+		p.resetAtEnd(false)
+	}
+	if tcp, ok := p.near.(*net.TCPConn); ok && end == endedByUpstream {
+		// The end of the response must not overtake it.
+		_ = tcp.CloseWrite()
+		_ = p.near.SetReadDeadline(time.Now().Add(lingerMs.Duration()))
+	} else {
+		p.close()
+	}
+	<-toUpstream
+	return end
+}
+
+// passRequests copies to the upstream until either side ends.
+func (p *passage) passRequests() {
+	buf := make([]byte, copyBufferBytes)
+	for {
+		n, err := p.near.Read(buf)
+		if n > 0 {
+			p.activeAt.Store(int64(p.clock.Now()))
+			if _, writeErr := p.far.Write(buf[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			p.peerEnded.Store(errors.Is(err, io.EOF))
+			return
+		}
+	}
+}
+
+// passResponses copies from the upstream until it ends its connection. It returns the
+// error that has ended one of the connections.
+func (p *passage) passResponses() error {
+	buf := make([]byte, frameHeadBytes+copyBufferBytes)
+	for {
+		n, err := p.far.Read(buf[frameHeadBytes:])
+		if n > 0 {
+			p.activeAt.Store(int64(p.clock.Now()))
+			if writeErr := p.writeFrame(buf[:frameHeadBytes+n]); writeErr != nil {
+				return writeErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writeFrame sends the bytes of b after the room for the head of a frame.
+func (p *passage) writeFrame(b []byte) error {
+	if !p.framed {
+		b = b[frameHeadBytes:]
+	} else {
+		binary.BigEndian.PutUint16(b, uint16(len(b)-frameHeadBytes)) //nolint:gosec // at most copyBufferBytes
+	}
+	_, err := p.near.Write(b)
+	return err
+}
+
+// writeEnd tells the peer that the upstream has ended its connection in order.
+func (p *passage) writeEnd() error {
+	if !p.framed {
+		return nil
+	}
+	return p.writeFrame(make([]byte, frameHeadBytes))
+}
--- a/internal/kcdetour/relay.go
+++ b/internal/kcdetour/relay.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcconn"
@@ -19,8 +17,6 @@
 const (
 	// TunnelPath is the URL path of the relay. The address of the upstream follows it.
 	TunnelPath = "/tunnel/"
-	// tunnelProtocol is the name of the protocol that a connection changes to.
-	tunnelProtocol = "kingcuprail-tunnel"
 	// instanceParam is the query parameter with the id of the instance that a request is
 	// meant for.
 	instanceParam = "instance"
@@ -33,16 +29,11 @@
 	// relayDialTimeoutMs bounds a connection for a peer, which waits for it: ten round
 	// trips between regions.
 	relayDialTimeoutMs = 250 * kcclock.Millisecond
-	// copyBufferBytes is the buffer of one direction: a few events, or two packets.
-	copyBufferBytes = 8 << 10
 	// closeIdleMs is when a tunnel without traffic is closed during a shutdown. Requests
 	// that must not be repeated are not sent on connections that were idle for so long.
 	closeIdleMs = 1600 * kcclock.Millisecond
 	// sweepIntervalMs is the time between looks for such tunnels.
 	sweepIntervalMs = 100 * kcclock.Millisecond
-	// lingerMs is how long the rest of a request is read after its upstream has closed
-	// the connection, so that the response is not lost with it.
-	lingerMs = 1000 * kcclock.Millisecond
 )
 
 // Relay passes connections of peers on to upstreams.
@@ -75,16 +66,6 @@
 	draining bool
 }
 
-// passage is one tunnel at the relay.
-type passage struct {
-	near, far net.Conn
-	// activeAt is when a byte has passed last.
-	activeAt atomic.Int64
-}
-
-// close closes both connections.
-func (p *passage) close() { _, _ = p.near.Close(), p.far.Close() }
-
 // Open returns the number of open tunnels.
 func (r *Relay) Open() int64 {
 	r.mu.Lock()
@@ -145,19 +126,18 @@
 		r.Log.Error("cannot take over the connection of a peer", "peer", req.RemoteAddr, "error", err)
 		return
 	}
-	p := &passage{near: near, far: far}
-	p.activeAt.Store(int64(r.Clock.Now()))
+	p := newPassage(r.Clock, near, far, acceptsFrames(req))
 	r.track(p)
 	defer r.untrack(p)
 	defer p.close()
 	r.limitSilence(near)
 	_ = near.SetDeadline(time.Time{})
-	_, err = io.WriteString(near, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+tunnelProtocol+"\r\n\r\n")
+	_, err = io.WriteString(near, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+p.protocol()+"\r\n\r\n")
 	if err != nil {
 		return // the peer has given up
 	}
 	r.count("relay.tunnels")
-	r.pass(p)
+	r.count("relay.ended." + string(p.run()))
 }
 
 // limitSilence ends the tunnel of a peer that falls silent. Its upstream would work on
@@ -172,63 +152,6 @@
 	}
 }
 
-// pass passes bytes on. The end and the reset of the upstream reach the peer as what
-// they are. Whatever ends the connection of the peer ends that to the upstream.
-func (r *Relay) pass(p *passage) {
-	toUpstream := make(chan struct{})
-	var peerEnded atomic.Bool
-	go func() {
-		defer close(toUpstream)
-		if r.copy(p, p.far, p.near) == nil {
-			peerEnded.Store(true)
-		}
-		_ = p.far.Close()
-	}()
-	err := r.copy(p, p.near, p.far)
-	switch {
-	case err == nil:
-		r.count("relay.ended.upstream")
-	case peerEnded.Load():
-		r.count("relay.ended.peer")
-	default:
-		r.count("relay.ended.broken")
-	}
-	if err == nil {
-		// The end of the response must not overtake it.
-		if tcp, ok := p.near.(*net.TCPConn); ok {
-			_ = tcp.CloseWrite()
-		}
-		_ = p.near.SetReadDeadline(time.Now().Add(lingerMs.Duration()))
-		<-toUpstream
-		return
-	}
-	if tcp, ok := p.near.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	p.close()
-	<-toUpstream
-}
-
-// copy copies until src ends, and returns the error that ended it.
-func (r *Relay) copy(p *passage, dst io.Writer, src io.Reader) error {
-	buf := make([]byte, copyBufferBytes)
-	for {
-		n, err := src.Read(buf)
-		if n > 0 {
-			p.activeAt.Store(int64(r.Clock.Now()))
-			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
-				return writeErr
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 func (r *Relay) track(p *passage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/internal/kcdetour/tunnel.go
@@ -0,0 +1,96 @@
+package kcdetour
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"github.com/zeebo/errs"
+)
+
+// Protocols that a connection to a peer changes to. In both, the bytes for the upstream
+// are sent as they are.
+const (
+	// framedProtocol sends the bytes of the upstream in frames: their number in two bytes
+	// (big-endian), then the bytes. An empty frame tells that the upstream has ended its
+	// connection in order.
+	framedProtocol = "kingcuprail-tunnel/2"
+	// bareProtocol sends the bytes of the upstream as they are. It is that of builds
+	// without frames.
+	bareProtocol = "kingcuprail-tunnel"
+)
+
+// frameHeadBytes is the size of the head of a frame.
+const frameHeadBytes = 2
+
+// errTunnelEnded means that a tunnel has ended without the end of its upstream: the peer
+// may have ended.
+var errTunnelEnded = errs.New("the tunnel ended: %w", io.ErrUnexpectedEOF)
+
+// tunnel is a connection to an upstream through a peer.
+type tunnel struct {
+	net.Conn
+	tcp  *net.TCPConn
+	peer string
+	// framed is false if the peer does not send frames. The end of such a tunnel does not
+	// tell what has ended.
+	framed bool
+
+	// head holds the first headLen bytes of the head of a frame, left is the number of
+	// bytes of the current frame that have not been read.
+	head    [frameHeadBytes]byte
+	headLen int
+	left    int
+	// ended is true after the empty frame.
+	ended bool
+}
+
+// Via returns the address of the peer.
+func (t *tunnel) Via() string { return t.peer }
+
+// SyscallConn returns the raw connection to the peer.
+func (t *tunnel) SyscallConn() (syscall.RawConn, error) { return t.tcp.SyscallConn() }
+
+// Read reads what the upstream has sent. It returns io.EOF only if the upstream has ended
+// its connection in order.
+func (t *tunnel) Read(p []byte) (int, error) {
+	for len(p) > 0 && !t.ended {
+		n, err := t.Conn.Read(p)
+		if t.framed {
+			n = t.decode(p[:n])
+		}
+		switch {
+		case n > 0:
+			return n, nil
+		case errors.Is(err, io.EOF) && !t.ended:
+			return 0, errTunnelEnded
+		case err != nil:
+			return 0, err
+		}
+	}
+	if t.ended {
+		return 0, io.EOF
+	}
+	return 0, nil
+}
+
+// decode removes the heads of frames from b and returns the number of bytes that are
+// left.
+func (t *tunnel) decode(b []byte) (n int) {
+	for i := 0; i < len(b) && !t.ended; {
+		if t.left > 0 {
+			k := copy(b[n:], b[i:min(len(b), i+t.left)])
+			n, i, t.left = n+k, i+k, t.left-k
+			continue
+		}
+		t.head[t.headLen] = b[i]
+		i++
+		if t.headLen++; t.headLen == frameHeadBytes {
+			t.headLen, t.left = 0, int(binary.BigEndian.Uint16(t.head[:]))
+			t.ended = t.left == 0
+		}
+	}
+	return n
+}
