kcdetour: Keep the reset of an upstream that a failed write has taken

Cause: on Linux a failed write takes the error of the socket, and the next read ends as if the other side had closed in order. At the relay, the write of the request and the read of the response run side by side, so either may get the reset: as the end of the upstream it was passed on to the peer, whose own write does not fail. The other half: a failed write closed the connection to the upstream at once, with the response unread.

A relay records a failed write, and an end after it is no end of the upstream. It goes on reading the response, and reads the rest of the request without passing it on, so that the peer gets to the response.

--- a/internal/kcdetour/end_test.go
+++ b/internal/kcdetour/end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"testing/iotest"
 
 	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/zeebo/errs"
 
 	"github.com/kingcuprail/kingcuprail/internal/kcdetour"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
@@ -79,22 +81,24 @@
 }
 
 // requestBareTunnel asks a relay for a tunnel as builds without frames do.
-func requestBareTunnel(t *testing.T, peer kcdetour.Peer, upstream string) (net.Conn, *bufio.Reader) {
-	t.Helper()
-	c, err := dialTCP(t.Context(), peer.Addr)
+func requestBareTunnel(ctx context.Context, peer kcdetour.Peer, upstream string) (net.Conn, error) {
+	c, err := dialTCP(ctx, peer.Addr)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	t.Cleanup(func() { _ = c.Close() })
-	_, _ = io.WriteString(c, "GET "+kcdetour.TunnelPath+upstream+"?instance="+peer.ID+
+	_, err = io.WriteString(c, "GET "+kcdetour.TunnelPath+upstream+"?instance="+peer.ID+
 		" HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: kingcuprail-tunnel\r\n\r\n")
-	br := bufio.NewReader(c)
-	resp, err := http.ReadResponse(br, nil)
-	if err != nil || resp.StatusCode != http.StatusSwitchingProtocols {
-		t.Fatalf("%v, %v", resp, err)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusSwitchingProtocols {
+		return nil, errs.New("status %d", resp.StatusCode)
 	}
-	_ = resp.Body.Close()
-	return c, br
+	return c, resp.Body.Close()
 }
 
 // Guards against an instance that ends while it passes on a connection for one without
@@ -105,20 +109,28 @@
 	clock := kcclock.NewManual(10_000)
 	relay, peer := newRelay(t)
 	relay.Clock = clock
-	c, br := requestBareTunnel(t, peer, whole)
+	c, err := requestBareTunnel(t.Context(), peer, whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, "?")
-	if got, err := io.ReadAll(br); err != nil || string(got) != "hello" {
+	if got, err := io.ReadAll(c); err != nil || string(got) != "hello" {
 		t.Errorf("the upstream has ended: %q, %v", got, err)
 	}
-	c, br = requestBareTunnel(t, peer, part)
+	c, err = requestBareTunnel(t.Context(), peer, part)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, "?")
-	if _, err := io.ReadFull(br, make([]byte, 3)); err != nil {
+	if _, err := io.ReadFull(c, make([]byte, 3)); err != nil {
 		t.Fatal(err)
 	}
 	clock.Advance(2000)
 	drained := make(chan struct{})
 	go func() { defer close(drained); relay.Drain(t.Context()) }()
-	if got, err := io.ReadAll(br); !errors.Is(err, syscall.ECONNRESET) {
+	if got, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("the relay has ended: %q, %v", got, err)
 	}
 	for {
--- a/internal/kcdetour/passage.go
+++ b/internal/kcdetour/passage.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,12 @@
 	activeAt atomic.Int64
 	// peerEnded is true once the peer has ended its connection.
 	peerEnded atomic.Bool
+
+	// writeMu is held during each write to the upstream, and writeErr the error of the one
+	// that failed. It has taken the error of the socket, so reads end as if the upstream
+	// had closed the connection in order.
+	writeMu  sync.Mutex
+	writeErr error
 }
 
 // acceptsFrames reports whether the peer that asks for a tunnel knows frames.
@@ -107,11 +114,11 @@
 		return endedBroken
 	}
 	end := endedBroken
-	if p.writeEnd() == nil {
+	if p.awaitWrite() == nil && p.writeEnd() == nil {
 		end = endedByUpstream
 		p.resetAtEnd(false)
 	}
-	if tcp, ok := p.near.(*net.TCPConn); ok && end == endedByUpstream {
+	if tcp, ok := p.near.(*net.TCPConn); ok && (p.framed || end == endedByUpstream) {
 		// The end of the response must not overtake it.
 		_ = tcp.CloseWrite()
 		_ = p.near.SetReadDeadline(time.Now().Add(lingerMs.Duration()))
@@ -122,16 +129,15 @@
 	return end
 }
 
-// passRequests copies to the upstream until either side ends.
+// passRequests copies to the upstream until the peer ends. After a failed write it only
+// reads, so that the peer gets to the response.
 func (p *passage) passRequests() {
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := p.near.Read(buf)
 		if n > 0 {
 			p.activeAt.Store(int64(p.clock.Now()))
-			if _, writeErr := p.far.Write(buf[:n]); writeErr != nil {
-				return
-			}
+			p.write(buf[:n])
 		}
 		if err != nil {
 			p.peerEnded.Store(errors.Is(err, io.EOF))
@@ -140,6 +146,23 @@
 	}
 }
 
+func (p *passage) write(b []byte) {
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	if p.writeErr == nil {
+		_, p.writeErr = p.far.Write(b)
+	}
+}
+
+// awaitWrite waits until no write to the upstream is running and returns the error of
+// the one that failed.
+func (p *passage) awaitWrite() error {
+	_ = p.far.SetWriteDeadline(time.Now().Add(lingerMs.Duration()))
+	p.writeMu.Lock()
+	defer p.writeMu.Unlock()
+	return p.writeErr
+}
+
 // passResponses copies from the upstream until it ends its connection. It returns the
 // error that has ended one of the connections.
 func (p *passage) passResponses() error {
--- a/internal/kcsoak/peer_end_test.go
+++ b/internal/kcsoak/peer_end_test.go
@@ -84,8 +84,8 @@
 	for range peerEnds {
 		for range 1 + rnd.IntN(8)/7 {
 			only := &soakRun{t: s.t, seed: s.seed, instances: peers, ctx: s.ctx}
-			fault := []faultStarter{only.killInstance, only.killInstance, only.stopInstance, only.stopInstance, only.pauseInstance}[rnd.IntN(5)]
-			end, durationMs := fault(rnd), kcclock.Millis(100+rnd.IntN(400))
+			faults := []faultStarter{only.killInstance, only.killInstance, only.stopInstance, only.stopInstance, only.pauseInstance}
+			end, durationMs := faults[rnd.IntN(len(faults))](rnd), kcclock.Millis(100+rnd.IntN(400))
 			if end == nil {
 				continue
 			}
@@ -137,5 +137,6 @@
 			whole++
 		}
 	}
-	s.t.Logf("seed %d: %d requests, %d whole, %d short and told as whole, by status: %v", s.seed, len(s.attempts), whole, short, byStatus)
+	s.t.Logf("seed %d: %d requests, %d whole, %d short and told as whole, by status: %v",
+		s.seed, len(s.attempts), whole, short, byStatus)
 }
