kcconn: Count responses without framing as whole only if their servers live

Cause: the check after the end asked whether the server has ended, and whatever was no refusal counted as "no". The settling time of a connection also counted as over when the request ended.

The check asks whether the server lives, and a response whose server could not be asked is broken off: it is resumed or repeated elsewhere where the route permits it. A connection that times out is tried once more, since a sound machine may be silent for a second. The same at the own door.

--- a/internal/kcconn/ended.go
+++ b/internal/kcconn/ended.go
@@ -33,6 +33,10 @@
 	Probe []byte
 }
 
+// maxDialTimeouts is the number of connections that may time out before a server counts
+// as out of reach. A machine may be silent for a second and go on.
+const maxDialTimeouts = 2
+
 // endCheckPausesMs are the pauses before the connections that are opened after one
 // was closed or reset. A server at its limit of connections does that as well.
 var endCheckPausesMs = []kcclock.Millis{0, 10, 30, 90}
@@ -42,29 +46,39 @@
 // says nothing by itself: it has to stay open, or the server has to answer. A
 // connection that stays open without an answer is returned if there was no probe.
 func (e EndCheck) Run(ctx context.Context) (found Liveness, open net.Conn) {
+	timeouts := 0
 	for _, pause := range endCheckPausesMs {
 		if pause > 0 && kcclock.Wait(ctx, kcclock.System{}, pause) != nil {
 			return Unknown, nil
 		}
 		nc, err := e.Dial(ctx)
 		switch {
-		case errors.Is(err, syscall.ECONNRESET):
-			continue
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return Ended, nil
+		case errors.Is(err, syscall.ECONNRESET):
+			found = Lives // it closes or resets all connections, as at its limit
+			continue
 		case err != nil:
-			return Unknown, nil
+			if timeouts++; timeouts == maxDialTimeouts || ctx.Err() != nil {
+				return Unknown, nil
+			}
+			continue
 		}
 		lives := e.livesBehind(ctx, nc)
-		if lives && len(e.Probe) == 0 {
+		switch {
+		case ctx.Err() != nil:
+			_ = nc.Close()
+			return Unknown, nil
+		case lives && len(e.Probe) == 0:
 			return Lives, nc
 		}
 		_ = nc.Close()
+		found = Lives
 		if lives {
 			return Lives, nil
 		}
 	}
-	return Lives, nil // it closes or resets all connections, as at its limit
+	return found, nil
 }
 
 // livesBehind reports whether the server answers on a connection or keeps it open.
--- a/internal/kcconn/response_end.go
+++ b/internal/kcconn/response_end.go
@@ -13,12 +13,15 @@
 // answer before the end of a response without framing counts as its end.
 const endSettleMs = 250 * kcclock.Millisecond
 
-var errCrashedAtEnd = errs.New("the upstream has ended with a response without framing")
+var (
+	errCrashedAtEnd  = errs.New("the upstream has ended with a response without framing")
+	errNotAskedAtEnd = errs.New("the upstream could not be asked at the end of a response without framing")
+)
 
 // CheckEnd returns an error if the body of a response may be incomplete although its
 // connection was closed cleanly: it has no framing, and the server has ended, as planned
-// or not. A whole response looks the same if its server ends right after it. probePath
-// is that of Pool.Liveness.
+// or not, or could not be asked. A whole response looks the same if its server ends right
+// after it. probePath is that of Pool.Liveness.
 func (r *Response) CheckEnd(ctx context.Context, probePath string) error {
 	if r.Framed() {
 		return nil
@@ -27,10 +30,13 @@
 	if r.pool.opts.OnUnframedEnd != nil {
 		r.pool.opts.OnUnframedEnd(viaOf(r.conn.Conn), r.serverAtEnd)
 	}
-	if r.serverAtEnd == Ended {
+	switch r.serverAtEnd {
+	case Lives:
+		return nil
+	case Ended:
 		return errCrashedAtEnd
 	}
-	return nil
+	return errNotAskedAtEnd
 }
 
 // Path describes how the response has come, for logs: the peer that has passed its
--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -254,8 +254,10 @@
 		}
 	}
 	res := c.readResponse(callerCtx, t, call, resp)
-	if !kcresponse.IsFramed(resp) && res.Err == nil && c.hasEnded(callerCtx, t.Addr) {
-		res.Body, res.Err = nil, errs.New("%s has ended with a response without framing", t.ID)
+	if !kcresponse.IsFramed(resp) && res.Err == nil {
+		if found := c.liveness(callerCtx, t.Addr); found != kcconn.Lives {
+			res.Body, res.Err = nil, errs.New("response of %s without framing may be incomplete: its server: %s", t.ID, found)
+		}
 	}
 	return res
 }
@@ -264,8 +266,8 @@
 // end of a response without framing counts as its end.
 const endSettleMs = 250 * kcclock.Millisecond
 
-// hasEnded reports whether the server at addr has ended.
-func (c *Client) hasEnded(ctx context.Context, addr string) bool {
+// liveness returns whether the server at addr lives.
+func (c *Client) liveness(ctx context.Context, addr string) kcconn.Liveness {
 	d := net.Dialer{Timeout: c.opts.IdleTimeoutMs.Duration()}
 	check := kcconn.EndCheck{SettleMs: endSettleMs, Dial: func(ctx context.Context) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
@@ -274,7 +276,7 @@
 	if open != nil {
 		_ = open.Close()
 	}
-	return found == kcconn.Ended
+	return found
 }
 
 func (c *Client) reportResult(callerCtx context.Context, t Target, resp *http.Response, err error) {
