kcdetour: Let requests of peers end before a relay stops

Cause: a relay that stops cannot tell a connection that is idle from one with a request whose upstream is at work, and closed both after 1.6 s without traffic. It also began to refuse tunnels only after its own requests had ended.

A relay that stops tells its peers so on their tunnels (a frame without bytes), from the moment at which it accepts no more requests, and waits until they end them, within the grace period. Tunnels without frames are closed as before, by a reset.

Evidence: TestStopOfRelayEndsNoRequest failed before ("the tunnel ended"); TestStopOfRelayEndsIdleTunnels shows that a stop does not wait for idle ones.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -127,6 +127,17 @@
 	}
 }
 
+// isReusable reports whether the connection may carry another request, as far as a peer
+// that passes it on has told.
+func (c *conn) isReusable() bool {
+	r, ok := c.Conn.(interface{ Reusable() bool })
+	return !ok || r.Reusable()
+}
+
+// isEndedByPeer reports whether the peer that passes an idle connection on has ended it or
+// asks for its end.
+func (c *conn) isEndedByPeer() bool { return viaOf(c.Conn) != "" && !c.isOpenAndEmpty() }
+
 // isOpenAndEmpty reports whether the connection is open and has no unread data.
 // Data that arrives while the connection is idle belongs to no request, so a
 // connection with such data must not be reused.
--- a/internal/kcconn/pool.go
+++ b/internal/kcconn/pool.go
@@ -188,10 +188,10 @@
 	return found
 }
 
-// putIdle adds a connection to the pool, or closes it if it has unread data or
-// the pool is full.
+// putIdle adds a connection to the pool, or closes it if it has unread data, must not be
+// used again or the pool is full.
 func (p *Pool) putIdle(c *conn) {
-	if c.br.Buffered() > 0 {
+	if c.br.Buffered() > 0 || !c.isReusable() {
 		_ = c.Close()
 		return
 	}
@@ -205,8 +205,8 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-// Prune closes the idle connections to addresses for which keep returns false
-// and those that were idle for too long.
+// Prune closes the idle connections to addresses for which keep returns false, those
+// that were idle for too long, and those that the peers on their way want to end.
 func (p *Pool) Prune(keep func(addr string) bool) {
 	now := p.opts.Clock.Now()
 	p.mu.Lock()
@@ -214,7 +214,7 @@
 	for addr, list := range p.idle {
 		remaining := list[:0]
 		for _, c := range list {
-			if keep(addr) && now-c.idleSince < p.opts.IdleTimeoutMs {
+			if keep(addr) && now-c.idleSince < p.opts.IdleTimeoutMs && !c.isEndedByPeer() {
 				remaining = append(remaining, c)
 				continue
 			}
--- a/internal/kcdetour/passage.go
+++ b/internal/kcdetour/passage.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	framed bool
 	// activeAt is when a byte has passed last.
 	activeAt atomic.Int64
+	// stopping is true from the stop of the relay until the peer is told.
+	stopping atomic.Bool
 	// peerEnded is true once the peer has ended its connection.
 	peerEnded atomic.Bool
 
@@ -175,7 +178,10 @@
 				return writeErr
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && p.stopping.CompareAndSwap(true, false):
+			err = p.writeStopNotice()
+		case errors.Is(err, io.EOF):
 			return nil
 		}
 		if err != nil {
@@ -184,6 +190,20 @@
 	}
 }
 
+// stop tells a peer that knows frames to end the tunnel.
+func (p *passage) stop() {
+	p.stopping.Store(true)
+	_ = p.far.SetReadDeadline(time.Now()) // wakes passResponses
+}
+
+func (p *passage) writeStopNotice() error {
+	if err := p.far.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	_, err := p.near.Write(binary.BigEndian.AppendUint16(nil, stopNotice))
+	return err
+}
+
 // writeFrame sends the bytes of b after the room for the head of a frame.
 func (p *passage) writeFrame(b []byte) error {
 	if !p.framed {
--- a/internal/kcdetour/relay.go
+++ b/internal/kcdetour/relay.go
@@ -159,6 +159,9 @@
 		r.tunnels = make(map[*passage]bool)
 	}
 	r.tunnels[p] = true
+	if r.draining && p.framed {
+		p.stop()
+	}
 }
 
 func (r *Relay) untrack(p *passage) {
@@ -168,24 +171,30 @@
 }
 
 // Drain refuses new tunnels, and waits until the open ones have ended or ctx is done.
-// Those without traffic are closed.
+// Peers that know frames are told to end them. Those of other peers are closed when they
+// are without traffic.
 func (r *Relay) Drain(ctx context.Context) {
 	r.mu.Lock()
 	r.draining = true
+	for p := range r.tunnels {
+		if p.framed {
+			p.stop()
+		}
+	}
 	r.mu.Unlock()
 	for r.closeIdle() > 0 && kcclock.Wait(ctx, r.Clock, sweepIntervalMs) == nil {
 	}
 }
 
-// closeIdle closes the tunnels without traffic and returns the number of open ones.
+// closeIdle closes the tunnels without frames and traffic, and returns the number of open
+// ones.
 func (r *Relay) closeIdle() int {
 	now := int64(r.Clock.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p := range r.tunnels {
-		if now-p.activeAt.Load() >= int64(closeIdleMs) {
+		if !p.framed && now-p.activeAt.Load() >= int64(closeIdleMs) {
 			p.close()
-			r.count("relay.ended.idle")
 		}
 	}
 	return len(r.tunnels)
--- a/internal/kcdetour/tunnel.go
+++ b/internal/kcdetour/tunnel.go
@@ -15,15 +15,20 @@
 const (
 	// framedProtocol sends the bytes of the upstream in frames: their number in two bytes
 	// (big-endian), then the bytes. An empty frame tells that the upstream has ended its
-	// connection in order.
+	// connection in order. The number stopNotice, without bytes, tells that the peer is
+	// stopping and waits for the end of the tunnel.
 	framedProtocol = "kingcuprail-tunnel/2"
 	// bareProtocol sends the bytes of the upstream as they are. It is that of builds
 	// without frames.
 	bareProtocol = "kingcuprail-tunnel"
 )
 
-// frameHeadBytes is the size of the head of a frame.
-const frameHeadBytes = 2
+const (
+	// frameHeadBytes is the size of the head of a frame.
+	frameHeadBytes = 2
+	// stopNotice is above the size of all frames.
+	stopNotice = 1<<16 - 1
+)
 
 // errTunnelEnded means that a tunnel has ended without the end of its upstream: the peer
 // may have ended.
@@ -43,13 +48,16 @@
 	head    [frameHeadBytes]byte
 	headLen int
 	left    int
-	// ended is true after the empty frame.
-	ended bool
+	// ended is true after the empty frame, stopping after a stopNotice.
+	ended, stopping bool
 }
 
 // Via returns the address of the peer.
 func (t *tunnel) Via() string { return t.peer }
 
+// Reusable reports whether the tunnel may carry another request.
+func (t *tunnel) Reusable() bool { return !t.stopping && t.left == 0 && t.headLen == 0 }
+
 // SyscallConn returns the raw connection to the peer.
 func (t *tunnel) SyscallConn() (syscall.RawConn, error) { return t.tcp.SyscallConn() }
 
@@ -88,9 +96,20 @@
 		t.head[t.headLen] = b[i]
 		i++
 		if t.headLen++; t.headLen == frameHeadBytes {
-			t.headLen, t.left = 0, int(binary.BigEndian.Uint16(t.head[:]))
-			t.ended = t.left == 0
+			t.headLen = 0
+			t.beginFrame(int(binary.BigEndian.Uint16(t.head[:])))
 		}
 	}
 	return n
 }
+
+func (t *tunnel) beginFrame(size int) {
+	switch size {
+	case 0:
+		t.ended = true
+	case stopNotice:
+		t.stopping = true
+	default:
+		t.left = size
+	}
+}
--- a/internal/kcedge/stop.go
+++ b/internal/kcedge/stop.go
@@ -48,8 +48,13 @@
 	left := e.Deployment.Bounds.GraceMs - exitReserveMs - (clock.Now() - began)
 	ctx, cancel := kcclock.WithTimeout(context.Background(), clock, left)
 	defer cancel()
+	relayDrained := make(chan struct{})
+	go func() {
+		defer close(relayDrained)
+		e.relay.Drain(ctx)
+	}()
 	e.gate.Drain(ctx)
-	e.relay.Drain(ctx)
+	<-relayDrained
 	e.gate.EndRunning()
 	answers, cancelAnswers := kcclock.WithTimeout(context.Background(), clock, lastAnswersMs)
 	defer cancelAnswers()
