--- a/internal/kcdetour/stop_test.go
+++ b/internal/kcdetour/stop_test.go
@@ -91,7 +91,9 @@
 }
 
 func sendThrough(ctx context.Context, p *kcconn.Pool, addr string) error {
-	resp, err := p.Do(ctx, addr, &kcconn.Request{Method: http.MethodGet, Target: "/", Host: addr, ID: "q"})
+	resp, err := p.Do(ctx, addr, &kcconn.Request{
+		Method: http.MethodGet, Target: "/", Host: addr, Header: http.Header{"Request-Id": {"q"}}, ID: "q",
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/kcdetour/tunnel_test.go
+++ b/internal/kcdetour/tunnel_test.go
@@ -48,15 +48,15 @@
 }
 
 // newRelay returns a relay that reaches upstreams, and the peer that it is for others.
-func newRelay(t *testing.T) (*kcdetour.Relay, kcdetour.Peer) {
-	t.Helper()
+func newRelay(tb testing.TB) (*kcdetour.Relay, kcdetour.Peer) {
+	tb.Helper()
 	log := slog.New(slog.DiscardHandler)
 	r := &kcdetour.Relay{
 		Clock: kcclock.System{}, Log: log, InstanceID: "7", Direct: dialTCP, Known: func(string) bool { return true },
 		Reach: &kcdetour.Reach{Clock: kcclock.System{}, Log: log},
 	}
 	s := httptest.NewServer(r)
-	t.Cleanup(s.Close)
+	tb.Cleanup(s.Close)
 	return r, kcdetour.Peer{Addr: s.Listener.Addr().String(), ID: "7"}
 }
 
