kcledger: Reset connections of HTTP/1.0 callers whose responses break off

Cause: such a response has neither a length nor chunks, and an aborted handler, like the end of the process, closes its connection in order. The connections of these callers are reset unless the handler returns, at both doors.

Nothing changes for HTTP/1.1.

--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -333,7 +333,7 @@
 
 func (e *Edge) serveCallers(ln net.Listener, limits kcledger.Limits) *http.Server {
 	s := &http.Server{
-		Handler: e.gate, MaxHeaderBytes: maxHeaderBytes, ConnState: e.conns.stateChanged,
+		Handler: kcledger.ResetIncomplete(e.gate), MaxHeaderBytes: maxHeaderBytes, ConnState: e.conns.stateChanged,
 		ReadHeaderTimeout: callerHeaderTimeoutMs.Duration(), IdleTimeout: callerIdleTimeoutMs.Duration(),
 		ErrorLog: slog.NewLogLogger(e.Log.Handler(), slog.LevelWarn),
 	}
--- a/internal/kcinstance/listen.go
+++ b/internal/kcinstance/listen.go
@@ -70,6 +70,7 @@
 	}
 	if l.ledger != nil {
 		l.ledger.Attach(srv)
+		srv.Handler = kcledger.ResetIncomplete(srv.Handler)
 		ln = l.ledger.Listener(ln)
 	}
 	if config != nil {
