kcpeer: Reject responses without framing

What would be seen: an instance asks the owner of a shard for a claim, and somebody between ends the connection after a part of the response. If that has neither a length nor chunks, a part that ends with a field is a message: "unavailable, the record may still arrive" became "unavailable", and nothing at all became an empty message. The claim is then not closed, its record holds the key, and a call that was answered as not run is refused when it is repeated.

Cause: protobuf messages have no end of their own, and the end of the connection was taken for it.

Evidence, before: TestCutPeerMessagesAreErrors

0 of 13 bytes were accepted as "" 2 of 13 bytes were accepted as "verdict:5" 11 of 13 bytes were accepted as "verdict:5 error:\"timeout\""

All builds send a length with every message, compressed or not, so a response without framing is not what an instance has sent. It counts as no response now, as that of a foreign instance does.

The case "whole body without framing" had to be accepted by this reader and has to be rejected now (RequiresFraming); all other cases are as strict as before.

--- a/internal/kcfault/cases.go
+++ b/internal/kcfault/cases.go
@@ -36,6 +36,9 @@
 	// Whole is true if the whole body arrives although its framing is broken. Readers
 	// of bodies with an end of their own may accept it.
 	Whole bool
+	// Unframed responses have neither a length nor chunks. Readers that require either
+	// must reject them.
+	Unframed bool
 	// Early responses are sent while the client still writes its request, of which
 	// the server reads no more. Only the upload of a body of UploadBytes blocks.
 	Early bool
@@ -90,6 +93,8 @@
 			c.Sound = true
 		case "whole":
 			c.Whole = true
+		case "unframed":
+			c.Unframed = true
 		case "early":
 			c.Early = true
 		case "end":
--- a/internal/kcfault/reader.go
+++ b/internal/kcfault/reader.go
@@ -14,6 +14,9 @@
 	// OwnEnd is true if the body itself shows where it ends, so that the framing need
 	// not be complete.
 	OwnEnd bool
+	// RequiresFraming is true if a response without framing must be rejected, whole or
+	// not.
+	RequiresFraming bool
 	// MayLoseEarly is true if a sound response may be lost when the connection breaks
 	// during the upload, as net/http does. The request then counts as one that may have
 	// run.
@@ -59,15 +62,31 @@
 	}
 }
 
+// CheckCuts plays responses without framing that end in order after each part of the
+// body. None of them may be accepted.
+func (r Reader) CheckCuts(t *testing.T) {
+	t.Helper()
+	c := Case{Response: "HTTP/1.1 200 OK\r\n{header}\r\n{body}", End: Close}
+	for n := range len(r.Body) {
+		s := NewServer(t, c, r.Header, r.Body[:n])
+		ctx, cancel := context.WithTimeout(t.Context(), readTimeout)
+		if got, err := r.Read(ctx, s.Addr, nil); err == nil {
+			t.Errorf("%d of %d bytes were accepted as %.80q", n, len(r.Body), got)
+		}
+		cancel()
+	}
+}
+
 func (r Reader) checkResult(t *testing.T, c Case, got string, err error) {
 	t.Helper()
+	sound := c.Sound && (!r.RequiresFraming || !c.Unframed)
 	mayAccept, mayReject := r.OwnEnd && c.Whole, r.MayLoseEarly && c.Early
 	switch {
-	case err == nil && !c.Sound && !mayAccept:
+	case err == nil && !sound && !mayAccept:
 		t.Errorf("the response was accepted as %.80q, it is broken", got)
-	case err == nil && c.Sound && got != r.Want:
+	case err == nil && sound && got != r.Want:
 		t.Errorf("%.80q, want %q", got, r.Want)
-	case err != nil && c.Sound && !mayReject:
+	case err != nil && sound && !mayReject:
 		t.Errorf("the response was rejected, it is sound: %v", err)
 	}
 }
--- a/internal/kcpeer/count.go
+++ b/internal/kcpeer/count.go
@@ -4,8 +4,16 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/zeebo/errs"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcresponse"
 )
 
+// errUnframed means that a response has neither a length nor chunks, unlike all that
+// instances send, so that its end does not show that it is complete.
+var errUnframed = errs.New("peer: the response has no framing")
+
 // countingBody counts the bytes that are read from a body.
 type countingBody struct {
 	io.ReadCloser
@@ -70,6 +78,10 @@
 		c.node.recordForeign(req.URL.Host, other)
 		return nil, errors.Join(errForeign, resp.Body.Close())
 	}
+	if !kcresponse.IsFramed(resp) {
+		// A part of a message may be a message too.
+		return nil, errors.Join(errUnframed, resp.Body.Close())
+	}
 	c.gotResponse = true
 	counted := &reportingBody{countingBody: countingBody{ReadCloser: resp.Body}, report: func(in int64) {
 		c.node.countMessage(rpcName(req.URL.Path), req.ContentLength, in)
