commands: Reject answers of instances without framing

What would be seen: "status" and "explain" print a part of the state or of the candidates and exit with success, if the connection to the admin address ends in order after a part of a response that has neither a length nor chunks, as one that a proxy or a forwarded port passes on.

Cause: the end of the connection was taken for the end of the text, which has none of its own. TestBrokenAdminResponseIsAnError accepted each of the 23 parts of a response:

0 of 23 bytes were accepted as "" [...] 22 of 23 bytes were accepted as "state ready\ninFlight 7"

The admin listener answers HTTP/1.1 with a length or chunks only, so the commands require that. The test now demands that the whole body without framing is rejected, where it demanded that it is accepted, and plays each part as well.

--- a/internal/commands/adminclient.go
+++ b/internal/commands/adminclient.go
@@ -37,13 +37,17 @@
 	if err != nil {
 		return 0, "", errs.New("admin address %q: %v; it must be IP:port", c.Admin, err)
 	}
-	transport := kcresponse.NewTransport(&http.Transport{TLSClientConfig: config})
+	// net/http would hide the length of a compressed response.
+	transport := kcresponse.NewTransport(&http.Transport{TLSClientConfig: config, DisableCompression: true})
 	defer transport.CloseIdleConnections()
 	resp, err := (&http.Client{Transport: transport, Timeout: c.Timeout}).Do(req)
 	if err != nil {
 		return 0, "", errs.New("no answer from the admin address %s: %v; is the instance running?", c.Admin, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !kcresponse.IsFramed(resp) {
+		return 0, "", errs.New("the answer of the admin address %s has neither a length nor chunks, so it may not be complete", c.Admin)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAdminResponseBytes))
 	if err != nil {
 		return 0, "", errs.New("the answer of the admin address %s is not complete: %v", c.Admin, err)
--- a/internal/commands/broken_test.go
+++ b/internal/commands/broken_test.go
@@ -11,12 +11,14 @@
 // Guards against a broken response of an instance that is printed as a whole one, and
 // against a sound one that is not.
 func TestBrokenAdminResponseIsAnError(t *testing.T) {
-	const body = "the state of the instance"
-	kcfault.Reader{
-		Body: body, Want: body,
+	const body = "state ready\ninFlight 7\n"
+	reader := kcfault.Reader{
+		Body: body, Want: body, RequiresFraming: true,
 		Read: func(ctx context.Context, addr string, _ []byte) (string, error) {
 			_, got, err := adminClient{Admin: addr, Timeout: time.Minute}.get(&commandEnv{ctx: ctx}, "/status")
 			return got, err
 		},
-	}.Check(t)
+	}
+	reader.Check(t)
+	reader.CheckCuts(t)
 }
