kcentry: Send the length of whole responses

What callers would see: with HTTP/1.0, as some proxies speak it, a response of a service that is larger than 2 KB comes with neither a length nor chunks. When the instance crashes, reaches the end of its stop or gives up a caller that reads slowly, its connection ends in order after a part of the body, which looks whole.

Cause: the body is known before its first byte is sent, but its length was left to net/http, which knows that of small bodies only.

Responses of services and assembled chat responses have a length now, also in HTTP/1.1, where it takes the place of the chunks. Streams and JSON bodies have an end of their own.

--- a/internal/kcentry/deadline_writer.go
+++ b/internal/kcentry/deadline_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -28,6 +29,14 @@
 // Unwrap returns the wrapped writer, as http.ResponseController requires.
 func (w *deadlineWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// setLength sets the length of the body. Without it, the end of a large response in
+// HTTP/1.0 does not show that it is complete.
+func (w *deadlineWriter) setLength(n int) {
+	if n > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(n))
+	}
+}
+
 // WriteHeader sends the status under a new deadline.
 func (w *deadlineWriter) WriteHeader(status int) {
 	w.started = true
--- a/internal/kcentry/relay.go
+++ b/internal/kcentry/relay.go
@@ -212,7 +212,9 @@
 	}
 	kcledger.CallerOf(r.ex.R.Context()).Keep(int64(len(completion)))
 	r.startResponse("application/json")
-	_, err = r.ex.W.Write(append(completion, '\n'))
+	completion = append(completion, '\n')
+	r.ex.W.setLength(len(completion))
+	_, err = r.ex.W.Write(completion)
 	return err
 }
 
--- a/internal/kcentry/service.go
+++ b/internal/kcentry/service.go
@@ -231,6 +231,7 @@
 	if contentType != "" {
 		ex.W.Header().Set("Content-Type", contentType)
 	}
+	ex.W.setLength(len(body))
 	ex.W.WriteHeader(status)
 	_, _ = ex.W.Write(body)
 }
