kcupstream: Give the check of responses without framing its own time

What callers would see: 502, or 504 once the deadline has passed, for each whole response without framing to an operation with a timeoutMs of less than 250, and for others that come within 250 ms of it. A response without framing counts as whole only if its server lives, which a connection that stays open for 250 ms shows, and the check ended with the time of the call.

The check also opened its connections in another way than the calls, if a transport is given, so what a call cannot reach could count as alive.

Evidence, before: TestAnswerWithoutFramingNeedsLivingUpstream

lives, short call: 200 "", sent true, error response of s without framing may be incomplete: its server: unknown, want whole: true host has gone: 200 "body", sent true, error <nil>, want whole: false host is silent: 200 "body", sent true, error <nil>, want whole: false

The check has 500 ms at least now, and dials as the calls do. Responses with framing are not affected.

--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -57,6 +57,8 @@
 	Body        []byte
 	// Err is set if there is no complete response.
 	Err error
+	// unframed is true for a response that ended with its connection.
+	unframed bool
 }
 
 // Reasons passed to Options.OnRetry.
@@ -95,8 +97,10 @@
 
 // Client sends calls to upstreams.
 type Client struct {
-	opts     Options
-	scheme   string
+	opts   Options
+	scheme string
+	// dial opens a connection as calls do.
+	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	pooled   *http.Client
 	unpooled *http.Client
 	// withoutIDs holds addresses whose responses carry no request id. Their calls
@@ -128,7 +132,10 @@
 	if opts.OnRetry == nil {
 		opts.OnRetry = func(string) {}
 	}
-	c := &Client{opts: opts, scheme: "http://"}
+	c := &Client{opts: opts, scheme: "http://", dial: base.DialContext}
+	if c.dial == nil {
+		c.dial = (&net.Dialer{Timeout: opts.IdleTimeoutMs.Duration()}).DialContext
+	}
 	c.withoutIDs, _ = lru.New[string, struct{}](maxAddrsWithoutIDs) // the size is positive
 	pooled := base.Clone()
 	pooled.MaxIdleConnsPerHost = maxIdleConnsPerHost
@@ -169,6 +176,21 @@
 // is sent at most once. A repeatable call whose reused connection stalls is
 // sent once more on a new connection.
 func (c *Client) Do(ctx context.Context, t Target, call Call) Result {
+	began := c.opts.Clock.Now()
+	res := c.send(ctx, t, call)
+	if !res.unframed || res.Err != nil {
+		return res
+	}
+	ctx, cancel := kcclock.WithTimeout(ctx, c.opts.Clock, max(call.TimeoutMs-(c.opts.Clock.Now()-began), minEndCheckMs))
+	defer cancel()
+	if found := c.liveness(ctx, t.Addr); found != kcconn.Lives {
+		res.Body, res.Err = nil, errs.New("response of %s without framing may be incomplete: its server: %s", t.ID, found)
+	}
+	return res
+}
+
+// send is Do without the check of responses without framing.
+func (c *Client) send(ctx context.Context, t Target, call Call) Result {
 	ctx, cancel := kcclock.WithTimeout(ctx, c.opts.Clock, call.TimeoutMs)
 	defer cancel()
 	if !call.Repeatable {
@@ -254,23 +276,23 @@
 		}
 	}
 	res := c.readResponse(callerCtx, t, call, resp)
-	if !kcresponse.IsFramed(resp) && res.Err == nil {
-		if found := c.liveness(callerCtx, t.Addr); found != kcconn.Lives {
-			res.Body, res.Err = nil, errs.New("response of %s without framing may be incomplete: its server: %s", t.ID, found)
-		}
-	}
+	res.unframed = !kcresponse.IsFramed(resp)
 	return res
 }
 
-// endSettleMs is how long a new connection to a service has to stay open before the
-// end of a response without framing counts as its end.
-const endSettleMs = 250 * kcclock.Millisecond
+const (
+	// endSettleMs is how long a new connection to a service has to stay open before the
+	// end of a response without framing counts as its end.
+	endSettleMs = 250 * kcclock.Millisecond
+	// minEndCheckMs is the least time for that check, also if less is left of the time of
+	// the call. Otherwise no response without framing could complete a short call.
+	minEndCheckMs = 2 * endSettleMs
+)
 
 // liveness returns whether the server at addr lives.
 func (c *Client) liveness(ctx context.Context, addr string) kcconn.Liveness {
-	d := net.Dialer{Timeout: c.opts.IdleTimeoutMs.Duration()}
 	check := kcconn.EndCheck{SettleMs: endSettleMs, Dial: func(ctx context.Context) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp", addr)
+		return c.dial(ctx, "tcp", addr)
 	}}
 	found, open := check.Run(ctx)
 	if open != nil {
--- a/internal/kcupstream/client_test.go
+++ b/internal/kcupstream/client_test.go
@@ -9,12 +9,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcfault"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -100,6 +103,47 @@
 	}
 }
 
+// Guards against a part of a response that counts as whole because its server can't be
+// asked, and against a whole one that is lost because the call has little time.
+func TestAnswerWithoutFramingNeedsLivingUpstream(t *testing.T) {
+	var unframed kcfault.Case
+	for _, c := range kcfault.Cases(t) {
+		if c.Sound && c.Unframed {
+			unframed = c
+		}
+	}
+	for name, test := range map[string]struct {
+		checkErr  error
+		timeoutMs kcclock.Millis
+		whole     bool
+	}{
+		"lives":             {timeoutMs: kcclock.Minute, whole: true},
+		"lives, short call": {timeoutMs: endSettleMs / 2, whole: true},
+		"host has gone":     {syscall.EHOSTUNREACH, kcclock.Minute, false},
+		"host is silent":    {os.ErrDeadlineExceeded, kcclock.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := kcfault.NewServer(t, unframed, "", "body")
+			var dials atomic.Int64
+			transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if dials.Add(1) > 1 && test.checkErr != nil {
+					return nil, test.checkErr
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, addr)
+			}}
+			c := NewClient(Options{
+				Clock: kcclock.System{}, Transport: transport, IdleTimeoutMs: kcclock.Second, MaxResponseBytes: 1 << 20,
+			})
+			t.Cleanup(c.CloseIdleConnections)
+			res := c.Do(t.Context(), Target{ID: "s", Addr: s.Addr}, Call{Path: "/x", RequestID: "q", TimeoutMs: test.timeoutMs})
+			if whole := res.Err == nil; whole != test.whole || !res.Sent || whole != (string(res.Body) == "body") {
+				t.Errorf("%d %q, sent %v, error %v, want whole: %v", res.Status, res.Body, res.Sent, res.Err, test.whole)
+			}
+		})
+	}
+}
+
 // Guards against a second execution of an operation because net/http retries a
 // request with an Idempotency-Key header whose reused connection was closed
 // after the upstream had read the request. An empty body is tested too, because
