kcfault: Play each part of a response without framing

The end of a connection shows nothing of the message, so readers of messages with an end of their own (JSON, gzip, pages of the store with the end of their log) must find each part of one incomplete. A page of the store that is cut between two records is a part of the log, whose rest is read next; without the end of the log in the page the test fails.

--- a/internal/kcfeed/broken_test.go
+++ b/internal/kcfeed/broken_test.go
@@ -1,6 +1,8 @@
 package kcfeed_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"log/slog"
 	"strconv"
@@ -24,7 +26,7 @@
 // Guards against a broken response of a peer that counts as complete, and against a
 // sound one that is rejected.
 func TestBrokenPeerResponsesAreErrors(t *testing.T) {
-	kcfault.Reader{
+	reader := kcfault.Reader{
 		Body: `{"ageMs":5,"whole":true,"end":7,"records":[]}`, OwnEnd: true, Want: "7",
 		Read: func(ctx context.Context, addr string, _ []byte) (string, error) {
 			pool := kcconn.NewPool(kcconn.Options{
@@ -39,5 +41,17 @@
 			page, err := reader.ReadSnapshot(ctx, "topic", kcfeed.Position{})
 			return strconv.FormatInt(page.NextOffset, 10), err
 		},
-	}.Check(t)
+	}
+	reader.Check(t)
+	reader.CheckCuts(t)
+	var compressed bytes.Buffer
+	zip := gzip.NewWriter(&compressed)
+	if _, err := zip.Write([]byte(reader.Body)); err != nil {
+		t.Fatal(err)
+	}
+	if err := zip.Close(); err != nil {
+		t.Fatal(err)
+	}
+	reader.Header, reader.Body = "Content-Encoding: gzip\r\n", compressed.String()
+	reader.CheckCuts(t)
 }
--- a/internal/kcinstance/rater_test.go
+++ b/internal/kcinstance/rater_test.go
@@ -16,7 +16,7 @@
 	client := &http.Client{Transport: kcresponse.NewTransport(&http.Transport{})}
 	t.Cleanup(client.CloseIdleConnections)
 	d := &routingSync{parent: &Instance{opts: Options{RatingClient: client, Clock: kcclock.NewManual(1000)}}}
-	kcfault.Reader{
+	reader := kcfault.Reader{
 		Body: `{"ratings":[{"requestId":"q"}]}`, OwnEnd: true, Want: "q",
 		Read: func(ctx context.Context, addr string, _ []byte) (string, error) {
 			var answer struct {
@@ -30,5 +30,7 @@
 			}
 			return answer.Ratings[0].RequestID, nil
 		},
-	}.Check(t)
+	}
+	reader.Check(t)
+	reader.CheckCuts(t)
 }
--- a/internal/kclease/broken_test.go
+++ b/internal/kclease/broken_test.go
@@ -14,7 +14,7 @@
 // Guards against a broken response of an engine that counts as its state, and against a
 // sound one that is rejected.
 func TestBrokenEngineStateIsAnError(t *testing.T) {
-	kcfault.Reader{
+	reader := kcfault.Reader{
 		Body: `{"role":"both","versions":["small@1"]}`, OwnEnd: true, Want: "both",
 		Read: func(ctx context.Context, addr string, _ []byte) (string, error) {
 			client := &kclease.HTTPEngineClient{
@@ -24,5 +24,7 @@
 			state, err := client.ReadState(ctx, addr)
 			return state.Role, err
 		},
-	}.Check(t)
+	}
+	reader.Check(t)
+	reader.CheckCuts(t)
 }
--- a/pkg/kclog/broken_test.go
+++ b/pkg/kclog/broken_test.go
@@ -23,16 +23,18 @@
 		return &kclog.Client{BaseURL: "http://" + addr, HTTP: &http.Client{Transport: kcresponse.NewTransport(&http.Transport{})}}
 	}
 	t.Run("read", func(t *testing.T) {
-		kcfault.Reader{
+		reader := kcfault.Reader{
 			Body: `{"records":[],"firstOffset":0,"endOffset":7,"nowMs":1}`, OwnEnd: true, Want: "7",
 			Read: func(ctx context.Context, addr string, _ []byte) (string, error) {
 				page, err := client(addr).Read(ctx, "s", 0, 1, 0)
 				return strconv.FormatInt(page.EndOffset, 10), err
 			},
-		}.Check(t)
+		}
+		reader.Check(t)
+		reader.CheckCuts(t)
 	})
 	t.Run("append", func(t *testing.T) {
-		kcfault.Reader{
+		reader := kcfault.Reader{
 			Body: `{"firstOffset":7}`, OwnEnd: true, Upload: true, MayLoseEarly: true, Want: "7",
 			Read: func(ctx context.Context, addr string, upload []byte) (string, error) {
 				body, err := json.Marshal(upload)
@@ -42,7 +44,9 @@
 				first, err := client(addr).Append(ctx, "s", []kclog.NewRecord{{ID: "a", Kind: "k", Body: body}})
 				return strconv.FormatInt(first, 10), err
 			},
-		}.Check(t)
+		}
+		reader.Check(t)
+		reader.CheckCuts(t)
 	})
 }
 
