kcmember: Reject a list that is cut after a member

What would be seen: if the connection to the list service ends in order after a member of a response without framing, the members that follow are gone, and the last one gets no work. The ETag of the response is kept, so that the service answers 304 from then on: the part stays in force until the list changes. A list above the limit of 16 MB can be cut in the same way.

Cause: a response that the JSON decoder rejects is split into its members, so that an odd one costs only itself. The split looked at the first and the last byte only, and a part that ends with the versions of a member ends like the whole list.

Evidence, before: TestBrokenListIsAnError and TestCutListIsReadAgain

80 of 195 bytes were accepted as "" 153 of 195 bytes were accepted as "a" a part of the list was accepted: [{ID: Role: Addr: Zone: ...}] [{ID: Role: Addr: Zone: ...}], <nil>, want both members

All values have to end now, which those of a part never do. Odd members still cost only themselves (TestOddMemberCostsOnlyItself).

--- a/internal/kcmember/decode.go
+++ b/internal/kcmember/decode.go
@@ -79,7 +79,7 @@
 	}
 	fields := make(map[string][]byte, len(items))
 	for _, item := range items {
-		end := valueEnd(item, ':')
+		end, _ := valueEnd(item, ':')
 		var name string
 		if end == len(item) || json.Unmarshal(item[:end], &name) != nil {
 			return nil, errs.New("field without a name")
@@ -109,7 +109,10 @@
 	}
 	var items [][]byte
 	for {
-		end := valueEnd(raw, ',')
+		end, complete := valueEnd(raw, ',')
+		if !complete {
+			return nil, errs.New("a value does not end")
+		}
 		items = append(items, bytes.TrimSpace(raw[:end]))
 		if end == len(raw) {
 			return items, nil
@@ -119,8 +122,9 @@
 }
 
 // valueEnd returns the index of the first separator that is not inside a value, or
-// the length of raw.
-func valueEnd(raw []byte, separator byte) int {
+// the length of raw. complete is false if a value has not ended there: a part of a document
+// may begin and end like the whole one.
+func valueEnd(raw []byte, separator byte) (end int, complete bool) {
 	depth, inString := 0, false
 	for i := 0; i < len(raw); i++ {
 		switch c := raw[i]; {
@@ -132,10 +136,12 @@
 		case c == '[' || c == '{':
 			depth++
 		case c == ']' || c == '}':
-			depth--
+			if depth--; depth < 0 {
+				return len(raw), false
+			}
 		case c == separator && depth == 0:
-			return i
+			return i, true
 		}
 	}
-	return len(raw)
+	return len(raw), depth == 0 && !inString
 }
