kcupstream: Accept compressed responses without asking their servers

Cause: net/http decompresses it and removes the length, so it counted as one without framing.

Compressed data has an end of its own, with a checksum: each part of it is an error. One that ends before its first byte is still checked as a response without framing. Data of several members that is cut between two of them, without framing, can't be told from the whole; it was told only if its server had ended.

--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -57,7 +57,7 @@
 	Body        []byte
 	// Err is set if there is no complete response.
 	Err error
-	// unframed is true for a response that ended with its connection.
+	// unframed is true for a response whose end only its connection shows.
 	unframed bool
 }
 
@@ -276,7 +276,9 @@
 		}
 	}
 	res := c.readResponse(callerCtx, t, call, resp)
-	res.unframed = !kcresponse.IsFramed(resp)
+	// net/http removes the length of a body that it decompresses, which shows its own end
+	// unless nothing has come.
+	res.unframed = !kcresponse.IsFramed(resp) && (!resp.Uncompressed || len(res.Body) == 0)
 	return res
 }
 
--- a/internal/kcupstream/client_test.go
+++ b/internal/kcupstream/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -144,6 +146,41 @@
 	}
 }
 
+// Guards against a compressed response that counts as one without framing, because
+// net/http hides its length, and against a part of one that counts as whole.
+func TestCompressedResponseShowsItsEnd(t *testing.T) {
+	var compressed bytes.Buffer
+	zip := gzip.NewWriter(&compressed)
+	_, err := io.WriteString(zip, "body")
+	if err = errors.Join(err, zip.Close()); err != nil {
+		t.Fatal(err)
+	}
+	const head = "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+	do := func(response, body string) Result {
+		s := kcfault.NewServer(t, kcfault.Case{Response: response, End: kcfault.Close}, "", body)
+		dials := 0
+		transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials++; dials > 1 {
+				return nil, syscall.EHOSTUNREACH
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		}}
+		c := NewClient(Options{Clock: kcclock.System{}, Transport: transport, IdleTimeoutMs: kcclock.Second, MaxResponseBytes: 1 << 20})
+		defer c.CloseIdleConnections()
+		return c.Do(t.Context(), Target{ID: "s", Addr: s.Addr}, Call{Path: "/x", RequestID: "q", TimeoutMs: kcclock.Minute})
+	}
+	for _, framing := range []string{"", "Content-Length: {length}\r\n"} {
+		if res := do(head+framing+"\r\n{body}", compressed.String()); res.Err != nil || string(res.Body) != "body" {
+			t.Errorf("%q: %q, %v", framing, res.Body, res.Err)
+		}
+	}
+	for n := range compressed.Len() {
+		if res := do(head+"\r\n{body}", compressed.String()[:n]); res.Err == nil {
+			t.Errorf("%d of %d bytes were accepted as %q", n, compressed.Len(), res.Body)
+		}
+	}
+}
+
 // Guards against a second execution of an operation because net/http retries a
 // request with an Idempotency-Key header whose reused connection was closed
 // after the upstream had read the request. An empty body is tested too, because
