--- a/internal/kcupstream/client_test.go
+++ b/internal/kcupstream/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -9,12 +11,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcfault"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -100,6 +105,82 @@
 	}
 }
 
+// Guards against a part of a response that counts as whole because its server can't be
+// asked, and against a whole one that is lost because the call has little time.
+func TestAnswerWithoutFramingNeedsLivingUpstream(t *testing.T) {
+	var unframed kcfault.Case
+	for _, c := range kcfault.Cases(t) {
+		if c.Sound && c.Unframed {
+			unframed = c
+		}
+	}
+	for name, test := range map[string]struct {
+		checkErr  error
+		timeoutMs kcclock.Millis
+		whole     bool
+	}{
+		"lives":             {timeoutMs: kcclock.Minute, whole: true},
+		"lives, short call": {timeoutMs: endSettleMs / 2, whole: true},
+		"host has gone":     {syscall.EHOSTUNREACH, kcclock.Minute, false},
+		"host is silent":    {os.ErrDeadlineExceeded, kcclock.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := kcfault.NewServer(t, unframed, "", "body")
+			var dials atomic.Int64
+			transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if dials.Add(1) > 1 && test.checkErr != nil {
+					return nil, test.checkErr
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, addr)
+			}}
+			c := NewClient(Options{
+				Clock: kcclock.System{}, Transport: transport, IdleTimeoutMs: kcclock.Second, MaxResponseBytes: 1 << 20,
+			})
+			t.Cleanup(c.CloseIdleConnections)
+			res := c.Do(t.Context(), Target{ID: "s", Addr: s.Addr}, Call{Path: "/x", RequestID: "q", TimeoutMs: test.timeoutMs})
+			if whole := res.Err == nil; whole != test.whole || !res.Sent || whole != (string(res.Body) == "body") {
+				t.Errorf("%d %q, sent %v, error %v, want whole: %v", res.Status, res.Body, res.Sent, res.Err, test.whole)
+			}
+		})
+	}
+}
+
+// Guards against a compressed response that counts as one without framing, because
+// net/http hides its length, and against a part of one that counts as whole.
+func TestCompressedResponseShowsItsEnd(t *testing.T) {
+	var compressed bytes.Buffer
+	zip := gzip.NewWriter(&compressed)
+	_, err := io.WriteString(zip, "body")
+	if err = errors.Join(err, zip.Close()); err != nil {
+		t.Fatal(err)
+	}
+	const head = "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+	do := func(response, body string) Result {
+		s := kcfault.NewServer(t, kcfault.Case{Response: response, End: kcfault.Close}, "", body)
+		dials := 0
+		transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials++; dials > 1 {
+				return nil, syscall.EHOSTUNREACH
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		}}
+		c := NewClient(Options{Clock: kcclock.System{}, Transport: transport, IdleTimeoutMs: kcclock.Second, MaxResponseBytes: 1 << 20})
+		defer c.CloseIdleConnections()
+		return c.Do(t.Context(), Target{ID: "s", Addr: s.Addr}, Call{Path: "/x", RequestID: "q", TimeoutMs: kcclock.Minute})
+	}
+	for _, framing := range []string{"", "Content-Length: {length}\r\n"} {
+		if res := do(head+framing+"\r\n{body}", compressed.String()); res.Err != nil || string(res.Body) != "body" {
+			t.Errorf("%q: %q, %v", framing, res.Body, res.Err)
+		}
+	}
+	for n := range compressed.Len() {
+		if res := do(head+"\r\n{body}", compressed.String()[:n]); res.Err == nil {
+			t.Errorf("%d of %d bytes were accepted as %q", n, compressed.Len(), res.Body)
+		}
+	}
+}
+
 // Guards against a second execution of an operation because net/http retries a
 // request with an Idempotency-Key header whose reused connection was closed
 // after the upstream had read the request. An empty body is tested too, because
