kcconn: Keep repeats off connections that carried their id

Cause: a request took no connection on which one with its id had failed, but it did take one on which one had succeeded. What succeeded is told by the status alone, and a refusal may have the status 200: its copy was taken for "not run", and the request went to the next upstream as well.

A connection keeps the ids of its last 64 successes as well now, as hashes. Two responses with one id never meet on a connection then, unless 64 others succeeded on it in between. Nothing on the wire tells two such responses apart, so the connection has to.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -38,10 +38,19 @@
 	// failedIDs holds the hashes of the ids of the requests that the connection
 	// has carried and that got another response than a success.
 	failedIDs []uint64
+	// answeredIDs holds those of the last requests that got a success, at most
+	// maxAnsweredIDs. Once it is full, oldestAnswered is the index of the oldest one.
+	answeredIDs    []uint64
+	oldestAnswered int
 }
 
-// maxFailedIDs limits the number of such requests on one connection.
-const maxFailedIDs = 64
+const (
+	// maxFailedIDs limits the number of failed requests on one connection.
+	maxFailedIDs = 64
+	// maxAnsweredIDs limits the number of answered requests that a connection knows.
+	// Unlike failed ones, callers rarely send them again.
+	maxAnsweredIDs = 64
+)
 
 // recordFailed records a request that its caller may send again with the same
 // id. It returns false if the connection must not carry further requests, because
@@ -51,11 +60,27 @@
 	return len(c.failedIDs) < maxFailedIDs
 }
 
+// recordAnswered records a request that got a success. It forgets the oldest one if
+// there are too many.
+func (c *conn) recordAnswered(id string) {
+	hash := xxhash.Sum64String(id)
+	if len(c.answeredIDs) < maxAnsweredIDs {
+		c.answeredIDs = append(c.answeredIDs, hash)
+		return
+	}
+	c.answeredIDs[c.oldestAnswered] = hash
+	c.oldestAnswered = (c.oldestAnswered + 1) % maxAnsweredIDs
+}
+
 // mayCarry reports whether responses to a request can be told from those to
 // earlier ones on the connection: an upstream may write the response to an earlier
 // request once more.
 func (c *conn) mayCarry(id string) bool {
-	return id == "" || len(c.failedIDs) == 0 || !slices.Contains(c.failedIDs, xxhash.Sum64String(id))
+	if id == "" {
+		return true
+	}
+	hash := xxhash.Sum64String(id)
+	return !slices.Contains(c.failedIDs, hash) && !slices.Contains(c.answeredIDs, hash)
 }
 
 func newConn(nc net.Conn, addr string) *conn {
--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -26,8 +26,8 @@
 	Header http.Header
 	Body   []byte
 	// ID, if set, is the request id. Responses with another id are skipped. The
-	// request takes no connection on which a request with the same id was refused
-	// or failed.
+	// request takes no connection that has carried a request with the same id, unless
+	// that one was answered maxAnsweredIDs successes ago.
 	ID string
 	// MaxConnIdleMs, if set, is the longest time that a reused connection may have
 	// been idle.
@@ -147,10 +147,10 @@
 }
 
 // readResponse returns the response that carries the id of the request, which no
-// earlier request on the connection had unless that one was answered with success. It skips
-// responses to earlier requests on the connection. An error response without an
-// id is taken for the response to this request only on a new connection: on one
-// that was used before, it may be a late second response to an earlier request.
+// earlier request on the connection had as far as is known. It skips responses to
+// earlier requests. An error response without an id is taken for the response to this
+// request only on a new connection: on one that was used before, it may be a late second
+// response to an earlier request.
 func (p *Pool) readResponse(c *conn, req *Request) (*http.Response, error) {
 	for range maxStrayResponses + 1 {
 		resp, err := c.readResponseHeader(req.Method)
@@ -191,7 +191,11 @@
 		_ = r.conn.Close()
 		return
 	}
-	if r.requestID != "" && (r.StatusCode < 200 || r.StatusCode >= 300) && !r.conn.recordFailed(r.requestID) {
+	switch isSuccess := r.StatusCode >= 200 && r.StatusCode < 300; {
+	case r.requestID == "":
+	case isSuccess:
+		r.conn.recordAnswered(r.requestID)
+	case !r.conn.recordFailed(r.requestID):
 		_ = r.conn.Close()
 		return
 	}
