kcconn: Skip late copies of streams

Cause: responses to other requests were skipped only if their length was known before. A stream is sent in chunks. And a skipped body was read without a limit on the time: a copy that breaks off takes the response behind it for its rest, and the request waited for more until its time was over.

Bodies in chunks are skipped as well, up to the same 256 KiB, and each skipped body has to arrive within 300 ms. What is skipped carries the id of another request, so that it is never part of the response. A copy that takes longer costs the connection, as a copy of a stream has done before.

--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -75,6 +75,9 @@
 	maxStrayResponses = 2
 	// maxStrayResponseBytes limits the body of a skipped response.
 	maxStrayResponseBytes = 256 << 10
+	// strayResponseMs limits the time for the body of a skipped response. One that broke
+	// off would take the response to the request for its rest, and wait for more.
+	strayResponseMs = 300 * kcclock.Millisecond
 	// responseAfterWriteErrorMs is how long to wait for a response after a failed
 	// write. The server may have responded before it closed the connection.
 	responseAfterWriteErrorMs = 300 * kcclock.Millisecond
@@ -112,8 +115,9 @@
 		if ctx.Err() != nil {
 			return fail(err)
 		}
-		_ = c.SetReadDeadline(time.Now().Add(responseAfterWriteErrorMs.Duration()))
-		resp, readErr := p.readResponse(c, req) //nolint:bodyclose // Finish or Abort ends it
+		deadline := time.Now().Add(responseAfterWriteErrorMs.Duration())
+		_ = c.SetReadDeadline(deadline)
+		resp, readErr := p.readResponse(c, req, deadline) //nolint:bodyclose // Finish or Abort ends it
 		if readErr != nil {
 			return fail(err)
 		}
@@ -123,7 +127,7 @@
 		}
 		return newResponse(resp), nil
 	}
-	resp, err := p.readResponse(c, req) //nolint:bodyclose // Finish or Abort ends it
+	resp, err := p.readResponse(c, req, time.Time{}) //nolint:bodyclose // Finish or Abort ends it
 	if err != nil {
 		return fail(err)
 	}
@@ -150,8 +154,8 @@
 // earlier request on the connection had as far as is known. It skips responses to
 // earlier requests. An error response without an id is taken for the response to this
 // request only on a new connection: on one that was used before, it may be a late second
-// response to an earlier request.
-func (p *Pool) readResponse(c *conn, req *Request) (*http.Response, error) {
+// response to an earlier request. deadline is the deadline for reads, or 0.
+func (p *Pool) readResponse(c *conn, req *Request, deadline time.Time) (*http.Response, error) {
 	for range maxStrayResponses + 1 {
 		resp, err := c.readResponseHeader(req.Method)
 		if err != nil {
@@ -161,16 +165,36 @@
 		if req.ID == "" || id == req.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !c.reused {
 			return resp, nil
 		}
-		if id == "" || resp.ContentLength < 0 || resp.ContentLength > maxStrayResponseBytes || resp.Close {
+		if id == "" || !kcresponse.IsFramed(resp) || resp.ContentLength > maxStrayResponseBytes || resp.Close {
 			break
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.skipBody(resp, deadline); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errs.New("the response does not carry the id of the request")
 }
 
+// skipBody reads the body of a response to another request. deadline is that of
+// readResponse.
+func (c *conn) skipBody(resp *http.Response, deadline time.Time) error {
+	limit := time.Now().Add(strayResponseMs.Duration())
+	if !deadline.IsZero() && deadline.Before(limit) {
+		limit = deadline
+	}
+	if err := c.SetReadDeadline(limit); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayResponseBytes+1))
+	if err != nil {
+		return err
+	}
+	if n > maxStrayResponseBytes {
+		return errs.New("the response to another request is larger than %d bytes", maxStrayResponseBytes)
+	}
+	return c.SetReadDeadline(deadline)
+}
+
 // Finish returns the connection to the pool if the body was read to its end and
 // the server keeps the connection open. Otherwise it closes the connection. It
 // does not wait for the rest of the body.
--- a/internal/kcgate/late_copy_test.go
+++ b/internal/kcgate/late_copy_test.go
@@ -379,6 +379,8 @@
 		return without("Content-Length") + "\r\n" + body
 	case "chunked":
 		return without("Content-Length") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + lastChunk
+	case "short":
+		return without("Content-Length") + "Content-Length: 9999\r\n\r\n" + body
 	case "head":
 		return head + "\r\n\r\n"
 	case "tail":
