kcdetour: Reuse tunnels only at rest

Cause: the pool looks for unread data and the end of a connection in the socket. A tunnel has read ahead: the empty frame that tells the end of the upstream may come with the end of a response and is then in its decoder only, until the peer closes the connection. The same holds for the beginning of a frame behind a response, which announces data that belongs to no request.

Tunnels report whether they are at rest, and the pool asks them.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -159,6 +159,9 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
+	if t, ok := c.Conn.(interface{ AtRest() bool }); ok && !t.AtRest() {
+		return false
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
