kcupstream: Close connections on which a late copy came

No caller got the copy: it carries the id of another request.

Cause: a response with the id of another request was read to its end before the ids were compared, which returns the connection to the pool. The call was not sent again on a new connection, as it is after a response without an id. A copy without framing was read until the time of the call was over.

A response on a used connection with the id of another request is handled like one without an id: its body is not read, which closes the connection, and a call that may be repeated is sent again on a connection of its own. On a new connection such a response is an error as before.

--- a/internal/kcupstream/client.go
+++ b/internal/kcupstream/client.go
@@ -198,9 +198,9 @@
 }
 
 // errUnattributed means that a response on a connection that was used before does
-// not carry the id of a request. It may be a late second response to an earlier
+// not carry the id of its request. It may be a late second response to an earlier
 // one.
-var errUnattributed = errors.New("the response on a used connection carries no request id")
+var errUnattributed = errors.New("the response on a used connection does not carry the request id")
 
 func isClosed(ch <-chan struct{}) bool {
 	select {
@@ -247,9 +247,13 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	resp.Body = progressBody{resp.Body, &progress}
-	if call.RequestID != "" && resp.Header.Get(HeaderRequestID) == "" {
-		c.withoutIDs.Add(t.Addr, struct{}{})
+	if id := resp.Header.Get(HeaderRequestID); call.RequestID != "" && id != call.RequestID {
+		if id == "" {
+			c.withoutIDs.Add(t.Addr, struct{}{})
+		}
 		if reused.Load() {
+			// The response to this request may follow. The connection is closed, since the
+			// body stays unread.
 			return Result{Sent: true, Err: errUnattributed}
 		}
 	}
