kcupstream: Attribute the ends and errors of streams

Cause: events are checked for the id of the request, but the end marker and error events carry none. A late copy of a stream without events, of the end of one, or of one that failed, was taken for the stream that followed on the connection.

On a connection that was used before, an end or an error counts only after the head of the response or an event has carried the id. Otherwise the stream is asked for on a new connection, as after an event of another request.

--- a/internal/kcupstream/conn.go
+++ b/internal/kcupstream/conn.go
@@ -43,6 +43,9 @@
 	ended chan struct{}
 	// memory is charged for lines of events.
 	memory kcresponse.Memory
+	// unattributed is true until the head or an event has shown that the response belongs
+	// to the stream. On a connection that was not used before, it is false.
+	unattributed bool
 }
 
 // run reads server-sent events until the response ends or ctx is done. Closing
--- a/internal/kcupstream/stream.go
+++ b/internal/kcupstream/stream.go
@@ -307,17 +307,24 @@
 		return &StatusError{
 			Status: res.resp.StatusCode, Body: body,
 			// After a server error the request goes to another engine in any case.
-			unattributed: res.resp.StatusCode < http.StatusInternalServerError && reused != nil && reused.Load() &&
-				res.resp.Header.Get(HeaderRequestID) != s.requestID,
+			unattributed: res.resp.StatusCode < http.StatusInternalServerError && !s.isAttributed(res.resp, reused),
 		}
 	}
 	s.conn = &streamConn{
 		events: make(chan Event, eventBufferSize), cancel: cancel, ended: make(chan struct{}), memory: kcledger.CallerOf(ctx),
+		unattributed: !s.isAttributed(res.resp, reused),
 	}
 	go s.conn.run(connCtx, res.resp.Body, s.nextOffset)
 	return nil
 }
 
+// isAttributed reports whether a response belongs to the stream as its head and its
+// connection show. It may be a late second response to an earlier request otherwise.
+// reused is that of open.
+func (s *Stream) isAttributed(resp *http.Response, reused *atomic.Bool) bool {
+	return reused == nil || !reused.Load() || resp.Header.Get(HeaderRequestID) == s.requestID
+}
+
 // awaitWithIdleTimeout calls wait until it reports true, ctx is done or the
 // idle timeout passes. wait must return when expired is closed or ctx is done.
 func (s *Stream) awaitWithIdleTimeout(ctx context.Context, wait func(expired <-chan struct{}) bool) error {
@@ -358,7 +365,7 @@
 			return Event{}, cause
 		}
 		if !open {
-			return Event{}, s.conn.err
+			return Event{}, s.endOfConn()
 		}
 		s.release()
 		memory := s.conn.memory
@@ -369,6 +376,16 @@
 	}
 }
 
+// endOfConn returns the error that has ended the events of the current connection. The
+// end marker alone does not show to which stream it belongs.
+func (s *Stream) endOfConn() error {
+	if s.conn.unattributed && errors.Is(s.conn.err, io.EOF) {
+		s.client.opts.OnRetry(RetryMismatchedResponse)
+		return errs.New("the end of stream %s may belong to another request", s.requestID)
+	}
+	return s.conn.err
+}
+
 // checkEvent reports whether ev is the next event of this stream. It returns
 // false for an event that was delivered before a resume, and an error for an
 // event after a gap.
@@ -376,6 +393,7 @@
 	if err := s.checkRequestID(ev); err != nil {
 		return false, err
 	}
+	s.conn.unattributed = false
 	if ev.Offset > s.nextOffset {
 		return false, errs.New("gap in stream %s: event %d after %d", s.requestID, ev.Offset, s.nextOffset-1)
 	}
@@ -399,6 +417,10 @@
 		return errs.New("event %d of stream %s is not JSON", ev.Offset, s.requestID)
 	}
 	if len(head.Error) > 0 && head.ID == "" && !bytes.Equal(head.Error, []byte("null")) {
+		if s.conn.unattributed {
+			s.client.opts.OnRetry(RetryMismatchedResponse)
+			return errs.New("the error of stream %s may belong to another request", s.requestID)
+		}
 		return &StatusError{Status: http.StatusBadGateway, Body: head.Error}
 	}
 	if !s.matchesRequestID(head.ID) {
