kcupstream: Confirm server errors of other requests

Cause: other error responses on a used connection are confirmed if they do not carry the id of the request, server errors were not, since the request goes to another engine after them anyway. The first engine ran it on, for nobody.

Server errors that carry another id are confirmed as well. Those without any id are not: failing servers often leave it out, and each would cost a connection. A copy of such an error cannot be told from an error of the request; the case "which looks like one of the request" keeps what happens then. "server error that is not a copy" counts no further connection.

--- a/internal/kcupstream/stream.go
+++ b/internal/kcupstream/stream.go
@@ -51,7 +51,7 @@
 	Status int
 	// Body may repeat parts of the prompt and must not be logged.
 	Body []byte
-	// unattributed is true for a rejection without the id of the request on a
+	// unattributed is true for an error response without the id of the request on a
 	// connection that was used before. It may be a late second response to an
 	// earlier request.
 	unattributed bool
@@ -306,8 +306,10 @@
 		cancel()
 		return &StatusError{
 			Status: res.resp.StatusCode, Body: body,
-			// After a server error the request goes to another engine in any case.
-			unattributed: res.resp.StatusCode < http.StatusInternalServerError && !s.isAttributed(res.resp, reused),
+			// Failing servers often leave out the id, and after a server error the request
+			// goes to another engine.
+			unattributed: !s.isAttributed(res.resp, reused) &&
+				(res.resp.StatusCode < http.StatusInternalServerError || res.resp.Header.Get(HeaderRequestID) != ""),
 		}
 	}
 	s.conn = &streamConn{
