kcentry: Give each try of a job upstream ids of its own

Cause: a job keeps its request id over all tries, and the ids of its upstream calls were made from that alone. By reading, a stream that is resumed could also get the events of an earlier try.

The ids of the upstream calls of a job have a random part for each try. Direct requests have a random request id already. Logs and bills keep the request id, with which the upstream ids begin.

--- a/internal/kcentry/dispatch.go
+++ b/internal/kcentry/dispatch.go
@@ -58,7 +58,7 @@
 			break
 		}
 		r := &relay{
-			s: s, ex: ex, attemptID: ex.ID + "-" + strconv.Itoa(n), version: ex.Version,
+			s: s, ex: ex, attemptID: ex.upstreamID() + "-" + strconv.Itoa(n), version: ex.Version,
 			holdUntilChecked: ex.rejectedFirst == nil && ex.plan.Second != "",
 			onFirstEvent:     dispatch.quarantine.recordAnswer,
 		}
--- a/internal/kcentry/exchange.go
+++ b/internal/kcentry/exchange.go
@@ -22,9 +22,13 @@
 type Exchange struct {
 	W *deadlineWriter
 	R *http.Request
-	// ID is the request id, as used in logs, bills and upstream calls.
-	ID       string
-	Received kcclock.Millis
+	// ID is the request id, as used in logs and bills. The ids of upstream calls begin
+	// with it.
+	ID string
+	// upstreamSuffix tells the upstream calls of a job from those of its earlier tries,
+	// which have the same request id.
+	upstreamSuffix string
+	Received       kcclock.Millis
 	// Deadline is the time by which the response must be complete.
 	Deadline kcclock.Millis
 	Body     []byte
@@ -70,6 +74,9 @@
 	dispatchOverhead time.Duration
 }
 
+// upstreamID returns the request id of upstream calls.
+func (ex *Exchange) upstreamID() string { return ex.ID + ex.upstreamSuffix }
+
 // recordDispatch records the overhead before the first dispatch. Later calls have
 // no effect.
 func (ex *Exchange) recordDispatch() {
--- a/internal/kcentry/jobs.go
+++ b/internal/kcentry/jobs.go
@@ -173,8 +173,8 @@
 	}
 	w := &jobResponseWriter{header: make(http.Header), status: http.StatusOK}
 	return &Exchange{
-		W: newDeadlineWriter(w, 0), R: r, ID: j.RequestID, Received: s.Clock.Now(), Deadline: j.Deadline, Body: j.Body,
-		WorkspaceName: j.Workspace, Execution: kcapi.NotRun,
+		W: newDeadlineWriter(w, 0), R: r, ID: j.RequestID, upstreamSuffix: "-" + rand.Text(), Received: s.Clock.Now(),
+		Deadline: j.Deadline, Body: j.Body, WorkspaceName: j.Workspace, Execution: kcapi.NotRun,
 	}, w
 }
 
--- a/internal/kcentry/service.go
+++ b/internal/kcentry/service.go
@@ -190,7 +190,8 @@
 		timeout = min(timeout, op.TimeoutMs)
 	}
 	return kcupstream.Call{
-		Path: ex.R.URL.Path, ContentType: ex.R.Header.Get("Content-Type"), Body: ex.Body, RequestID: ex.ID,
+		Path: ex.R.URL.Path, ContentType: ex.R.Header.Get("Content-Type"), Body: ex.Body,
+		RequestID:      ex.upstreamID(),
 		IdempotencyKey: ex.R.Header.Get(kcapi.HeaderIdempotencyKey), Repeatable: op.Idempotent, TimeoutMs: timeout,
 	}
 }
