kcconn: Mark connections as used before others take them

A connection that a check of an upstream had opened could count as unused although it had carried a request. An error without an id is then taken for the response to the next request, and it may be a late one to the request before.

Cause: the pool marks connections as used when they come back, and the check undid that after the connection was in the pool, where a request may have taken it already.

Evidence: TestKeptConnectionIsMarkedOnce, new, on the code before: a data race in three of three runs with -race. No wrong response was seen.

A connection is marked when the response to its request is finished, and the pool and the check do not touch the mark.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -34,7 +34,8 @@
 	// peerIdleTimeoutMs is how long the upstream keeps the idle connection open,
 	// or 0 if it did not say.
 	peerIdleTimeoutMs kcclock.Millis
-	reused            bool
+	// reused is true if the connection has carried a request.
+	reused bool
 	// failedIDs holds the hashes of the ids of the requests that the connection
 	// has carried and that got another response than a success.
 	failedIDs []uint64
--- a/internal/kcconn/conn_test.go
+++ b/internal/kcconn/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -253,3 +254,28 @@
 	}
 	return ids
 }
+
+// Guards against a connection that was kept after a check of the server and counts as
+// unused although it carries a request: the race detector sees it.
+func TestKeptConnectionIsMarkedOnce(t *testing.T) {
+	addr, _ := startServer(t, func(int) string { return okResponse })
+	p := newPool(t, kcclock.System{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 50 {
+				if p.Refuses(t.Context(), addr) {
+					t.Error("the server refuses a connection")
+				}
+			}
+		})
+		wg.Go(func() {
+			for range 50 {
+				if body, err := send(p, addr, kcconn.Request{}); err != nil || body != "ok" {
+					t.Errorf("%q, %v", body, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/kcconn/do.go
+++ b/internal/kcconn/do.go
@@ -223,6 +223,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.reused = true
 	r.conn.peerIdleTimeoutMs = keepAliveTimeout(r.Header.Get("Keep-Alive"))
 	r.pool.putIdle(r.conn)
 }
--- a/internal/kcconn/pool.go
+++ b/internal/kcconn/pool.go
@@ -161,7 +161,6 @@
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	p.putIdle(c)
-	c.reused = false
 	return false
 }
 
@@ -183,7 +182,6 @@
 	found, open := check.Run(ctx)
 	if open != nil {
 		p.putIdle(c)
-		c.reused = false
 	}
 	return found
 }
@@ -195,7 +193,7 @@
 		_ = c.Close()
 		return
 	}
-	c.idleSince, c.reused = p.opts.Clock.Now(), true
+	c.idleSince = p.opts.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.addr]) >= p.opts.MaxIdlePerAddr {
