--- a/internal/kcconn/conn_test.go
+++ b/internal/kcconn/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -222,7 +223,10 @@
 	}{
 		"repeat of a refused request":  {refused, []string{"a", "a"}, 2},
 		"repeat after other requests":  {refused, []string{"a", "b", "c", "a", "b", "c"}, 2},
-		"repeat of an answered one":    {ok, []string{"a", "a"}, 1},
+		"repeat of an answered one":    {ok, []string{"a", "a"}, 2},
+		"repeat after other answers":   {ok, []string{"a", "b", "c", "a", "b", "c"}, 2},
+		"many answers":                 {ok, manyIDs(200), 1},
+		"repeat after many answers":    {ok, append(manyIDs(100), manyIDs(100)[99], manyIDs(100)[50]), 2},
 		"other requests":               {refused, []string{"a", "b", "c"}, 1},
 		"more refusals than are known": {refused, manyIDs(100), 2},
 	} {
@@ -250,3 +254,28 @@
 	}
 	return ids
 }
+
+// Guards against a connection that was kept after a check of the server and counts as
+// unused although it carries a request: the race detector sees it.
+func TestKeptConnectionIsMarkedOnce(t *testing.T) {
+	addr, _ := startServer(t, func(int) string { return okResponse })
+	p := newPool(t, kcclock.System{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 50 {
+				if p.Refuses(t.Context(), addr) {
+					t.Error("the server refuses a connection")
+				}
+			}
+		})
+		wg.Go(func() {
+			for range 50 {
+				if body, err := send(p, addr, kcconn.Request{}); err != nil || body != "ok" {
+					t.Errorf("%q, %v", body, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
