--- a/internal/kcdetour/tunnel.go
+++ b/internal/kcdetour/tunnel.go
@@ -66,15 +66,13 @@
 	return t.Conn.Write(p)
 }
 
-// Reusable reports whether the tunnel may carry another request.
-func (t *tunnel) Reusable() bool { return !t.stopping && t.left == 0 && t.headLen == 0 }
-
 // SyscallConn returns the raw connection to the peer.
 func (t *tunnel) SyscallConn() (syscall.RawConn, error) { return t.tcp.SyscallConn() }
 
 // AtRest reports whether the tunnel may carry another request: its upstream has not ended
-// the connection, and no part of a frame was read whose rest is still to come.
-func (t *tunnel) AtRest() bool { return !t.ended && t.headLen == 0 && t.left == 0 }
+// the connection, the peer does not stop, and no part of a frame was read whose rest is
+// still to come.
+func (t *tunnel) AtRest() bool { return !t.ended && !t.stopping && t.headLen == 0 && t.left == 0 }
 
 // Read reads what the upstream has sent. It returns io.EOF only if the upstream has ended
 // its connection in order.
