kcconn: Recognize another server at the address of an upstream

Cause: any answer to the health check counted as a sign of life, whoever gave it. The end is read late if the instance was suspended or its caller reads slowly.

Answers to health checks name their upstream. Another name than that of the upstream means that it has ended. An answer without a name, or none within the settling time, counts as before. Tunnels that end without the end of their upstream under the check are no sign of life any more.

No call is added.

--- a/internal/kcconn/conn.go
+++ b/internal/kcconn/conn.go
@@ -153,11 +153,11 @@
 	}
 }
 
-// isReusable reports whether the connection may carry another request, as far as a peer
-// that passes it on has told.
-func (c *conn) isReusable() bool {
-	r, ok := c.Conn.(interface{ Reusable() bool })
-	return !ok || r.Reusable()
+// isAtRest reports whether the connection may carry another request, as far as one that
+// leads through a peer tells.
+func (c *conn) isAtRest() bool {
+	t, ok := c.Conn.(interface{ AtRest() bool })
+	return !ok || t.AtRest()
 }
 
 // isEndedByPeer reports whether the peer that passes an idle connection on has ended it or
@@ -168,10 +168,7 @@
 // Data that arrives while the connection is idle belongs to no request, so a
 // connection with such data must not be reused.
 func (c *conn) isOpenAndEmpty() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	if t, ok := c.Conn.(interface{ AtRest() bool }); ok && !t.AtRest() {
+	if c.br.Buffered() > 0 || !c.isAtRest() {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/kcconn/ended.go
+++ b/internal/kcconn/ended.go
@@ -1,9 +1,12 @@
 package kcconn
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -31,6 +34,9 @@
 	SettleMs kcclock.Millis
 	// Probe, if set, is a request that the server answers without running anything.
 	Probe []byte
+	// IsServer, if set, reports whether the header of the answer to Probe is that of the
+	// server. Another one may have taken its address.
+	IsServer func(h http.Header) bool
 }
 
 // maxDialTimeouts is the number of connections that may time out before a server counts
@@ -64,32 +70,66 @@
 			}
 			continue
 		}
-		lives := e.livesBehind(ctx, nc)
+		sign := e.signOfLife(ctx, nc)
 		switch {
 		case ctx.Err() != nil:
 			_ = nc.Close()
 			return Unknown, nil
-		case lives && len(e.Probe) == 0:
+		case sign == Lives && len(e.Probe) == 0:
 			return Lives, nc
 		}
 		_ = nc.Close()
-		found = Lives
-		if lives {
-			return Lives, nil
+		switch {
+		case sign == Lives, sign == Ended:
+			return sign, nil
+		case sign == "":
+			found = Lives
+		default:
+			if timeouts++; timeouts == maxDialTimeouts {
+				return Unknown, nil
+			}
 		}
 	}
 	return found, nil
 }
 
-// livesBehind reports whether the server answers on a connection or keeps it open.
-func (e EndCheck) livesBehind(ctx context.Context, nc net.Conn) bool {
+// signOfLife returns what a new connection shows about the server, or nothing if the
+// server closes it. It lives if it answers or keeps the connection open. Somebody on the
+// way may end the connection as well.
+func (e EndCheck) signOfLife(ctx context.Context, nc net.Conn) Liveness {
 	defer context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Now()) })()
 	if nc.SetDeadline(time.Now().Add(e.SettleMs.Duration())) != nil {
-		return false
+		return ""
 	}
 	if _, err := nc.Write(e.Probe); err != nil {
-		return false
+		return ""
+	}
+	answer := &probeAnswer{Reader: nc}
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(answer, maxHeaderBytes)), nil)
+	if err == nil {
+		_ = resp.Body.Close() // the connection is closed next
+	}
+	switch {
+	case err == nil && e.IsServer != nil && !e.IsServer(resp.Header):
+		return Ended
+	case answer.n > 0, errors.Is(answer.err, os.ErrDeadlineExceeded) && nc.SetDeadline(time.Time{}) == nil:
+		return Lives
+	case errors.Is(answer.err, io.ErrUnexpectedEOF):
+		return Unknown
 	}
-	n, err := nc.Read(make([]byte, 1))
-	return n > 0 || errors.Is(err, os.ErrDeadlineExceeded) && nc.SetDeadline(time.Time{}) == nil
+	return ""
+}
+
+// probeAnswer keeps how far the answer to a probe got.
+type probeAnswer struct {
+	io.Reader
+	n   int
+	err error
+}
+
+// Read implements io.Reader.
+func (a *probeAnswer) Read(p []byte) (int, error) {
+	n, err := a.Reader.Read(p)
+	a.n, a.err = a.n+n, err
+	return n, err
 }
--- a/internal/kcconn/pool.go
+++ b/internal/kcconn/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -38,6 +39,8 @@
 	// RequestIDHeader is the header that carries the request id, in requests and
 	// responses.
 	RequestIDHeader string
+	// ServerIDHeader, if set, is the header of answers to probes that names the server.
+	ServerIDHeader string
 	// Dial, if set, opens the connections. Otherwise NewDialer does.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// OnDial, if set, is called after each attempt to open a connection.
@@ -166,8 +169,9 @@
 
 // Liveness returns whether the server at addr lives, as EndCheck does. probePath,
 // if set, is the path of a request that the server answers without running anything.
-// Without one, a connection that stays open is kept for the next request.
-func (p *Pool) Liveness(ctx context.Context, addr, probePath string) Liveness {
+// Without one, a connection that stays open is kept for the next request. An answer that
+// names another server than serverID means that the server has ended.
+func (p *Pool) Liveness(ctx context.Context, addr, probePath, serverID string) Liveness {
 	var c *conn
 	check := EndCheck{SettleMs: endSettleMs, Dial: func(ctx context.Context) (net.Conn, error) {
 		var err error
@@ -176,6 +180,12 @@
 		}
 		return c.Conn, nil
 	}}
+	if p.opts.ServerIDHeader != "" {
+		check.IsServer = func(h http.Header) bool {
+			id := h.Get(p.opts.ServerIDHeader)
+			return id == "" || id == serverID
+		}
+	}
 	if probePath != "" {
 		check.Probe = []byte("GET " + probePath + " HTTP/1.1\r\nHost: " + addr + "\r\nConnection: close\r\n\r\n")
 	}
@@ -189,7 +199,7 @@
 // putIdle adds a connection to the pool, or closes it if it has unread data, must not be
 // used again or the pool is full.
 func (p *Pool) putIdle(c *conn) {
-	if c.br.Buffered() > 0 || !c.isReusable() {
+	if c.br.Buffered() > 0 || !c.isAtRest() {
 		_ = c.Close()
 		return
 	}
--- a/internal/kcconn/response_end.go
+++ b/internal/kcconn/response_end.go
@@ -21,12 +21,12 @@
 // CheckEnd returns an error if the body of a response may be incomplete although its
 // connection was closed cleanly: it has no framing, and the server has ended, as planned
 // or not, or could not be asked. A whole response looks the same if its server ends right
-// after it. probePath is that of Pool.Liveness.
-func (r *Response) CheckEnd(ctx context.Context, probePath string) error {
+// after it. probePath and serverID are those of Pool.Liveness.
+func (r *Response) CheckEnd(ctx context.Context, probePath, serverID string) error {
 	if r.Framed() {
 		return nil
 	}
-	r.serverAtEnd = r.pool.Liveness(ctx, r.conn.addr, probePath)
+	r.serverAtEnd = r.pool.Liveness(ctx, r.conn.addr, probePath, serverID)
 	if r.pool.opts.OnUnframedEnd != nil {
 		r.pool.opts.OnUnframedEnd(viaOf(r.conn.Conn), r.serverAtEnd)
 	}
--- a/internal/kcconn/unframed_end_test.go
+++ b/internal/kcconn/unframed_end_test.go
@@ -50,7 +50,7 @@
 			if err != nil || string(body) != "hello" {
 				t.Fatalf("%q, %v", body, err)
 			}
-			err = resp.CheckEnd(ctx, "/healthz")
+			err = resp.CheckEnd(ctx, "/healthz", "")
 			if whole := strings.HasPrefix(f.Name, "whole"); (err == nil) != whole || len(steps) > 0 {
 				t.Errorf("%v, and %v were not opened", err, steps)
 			}
--- a/internal/kcedge/edge.go
+++ b/internal/kcedge/edge.go
@@ -152,7 +152,7 @@
 		Clock: clock, DialTimeoutMs: dialTimeoutMs, UnackedTimeoutMs: unackedTimeoutMs,
 		IdleTimeoutMs: upstreamIdleTimeoutMs, MaxIdlePerAddr: maxIdlePerUpstream,
 		RequestIDHeader: kcplatform.HeaderRequestID, OnDial: e.countDial, Dial: e.detours.Dial,
-		OnUnframedEnd: e.countUnframedEnd,
+		OnUnframedEnd: e.countUnframedEnd, ServerIDHeader: kcplatform.HeaderUpstreamID,
 	})
 	e.storePool = kcconn.NewPool(kcconn.Options{
 		Clock: clock, DialTimeoutMs: dialTimeoutMs, UnackedTimeoutMs: unackedTimeoutMs,
--- a/internal/kcgate/harness_test.go
+++ b/internal/kcgate/harness_test.go
@@ -180,7 +180,7 @@
 	}
 	pool := kcconn.NewPool(kcconn.Options{
 		Clock: f.clock, DialTimeoutMs: 1000, UnackedTimeoutMs: 3000, IdleTimeoutMs: 4000, MaxIdlePerAddr: 4,
-		RequestIDHeader: kcplatform.HeaderRequestID, Dial: dial,
+		RequestIDHeader: kcplatform.HeaderRequestID, ServerIDHeader: kcplatform.HeaderUpstreamID, Dial: dial,
 	})
 	t.Cleanup(pool.Close)
 	f.gate = kcgate.New(kcgate.Options{
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -36,7 +36,7 @@
 		body, whole, err = kcledger.CallerOf(x.r.Context()).ReadAnswer(resp.Body, maxBufferedBytes)
 	}
 	if err == nil && whole {
-		err = x.checkEnd(ctx, resp)
+		err = x.checkEnd(ctx, c, resp)
 	}
 	if err != nil {
 		resp.Abort()
@@ -67,7 +67,7 @@
 		x.writeHeader(resp.StatusCode, len(body))
 		_, err = x.w.Write(body)
 	} else {
-		x.forwardLongBody(ctx, resp, body)
+		x.forwardLongBody(ctx, c, resp, body)
 	}
 	detail := itoa(resp.StatusCode) + resp.Path()
 	if err != nil {
@@ -89,7 +89,7 @@
 
 // forwardLongBody forwards a response as it arrives. read is the part that is
 // already read.
-func (x *exchange) forwardLongBody(ctx context.Context, resp *kcconn.Response, read []byte) {
+func (x *exchange) forwardLongBody(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, read []byte) {
 	resp.OnReadTimeout(nil) // no other upstream can take over any more
 	x.writeHeader(resp.StatusCode, int(resp.ContentLength))
 	_, err := x.w.Write(read)
@@ -101,7 +101,7 @@
 		_, err = io.Copy(x.w, resp.Body)
 	}
 	if err == nil {
-		err = x.checkEnd(ctx, resp)
+		err = x.checkEnd(ctx, c, resp)
 	}
 	if err != nil {
 		resp.Abort()
@@ -218,7 +218,7 @@
 		}
 		ev, err := rd.Next()
 		if errors.Is(err, io.EOF) {
-			if err := x.checkStreamEnd(ctx, resp, *last); err != nil {
+			if err := x.checkStreamEnd(ctx, c, resp, *last); err != nil {
 				resp.Abort()
 				return err
 			}
@@ -256,17 +256,17 @@
 
 // checkEnd returns an error if the body of a response may be incomplete although its
 // connection was closed cleanly.
-func (x *exchange) checkEnd(ctx context.Context, resp *kcconn.Response) error {
-	return resp.CheckEnd(ctx, x.table.HealthPaths[x.service])
+func (x *exchange) checkEnd(ctx context.Context, c *pickedUpstream, resp *kcconn.Response) error {
+	return resp.CheckEnd(ctx, x.table.HealthPaths[x.service], c.ID)
 }
 
 // checkStreamEnd does the same for a stream. last is the id of the last event that
 // was forwarded, or -1.
-func (x *exchange) checkStreamEnd(ctx context.Context, resp *kcconn.Response, last int64) error {
+func (x *exchange) checkStreamEnd(ctx context.Context, c *pickedUpstream, resp *kcconn.Response, last int64) error {
 	if !resp.Framed() && x.events == 0 && last < 0 {
 		return errEmptyStream
 	}
-	return x.checkEnd(ctx, resp)
+	return x.checkEnd(ctx, c, resp)
 }
 
 // countEvent counts an event of an attempt, and records what the first ones tell.
