--- a/internal/kcdetour/dialer.go
+++ b/internal/kcdetour/dialer.go
@@ -400,22 +400,7 @@
 		_ = tcp.Close()
 		return nil, err
 	}
-	return &tunnel{
-		Conn: tcp, tcp: tcp, peer: peer.Addr, framed: framed, peerLives: func() bool { return d.stillPassesOn(peer, addr) },
-	}, nil
-}
-
-// stillPassesOn reports whether a peer opens another tunnel to an upstream. The process of
-// a peer that has ended, or is stopping, does not.
-func (d *Dialer) stillPassesOn(peer Peer, addr string) bool {
-	ctx, cancel := kcclock.WithTimeout(context.Background(), d.Clock, d.TimeoutMs)
-	defer cancel()
-	c, err := d.openTunnel(ctx, peer, addr)
-	if err != nil {
-		return false
-	}
-	_ = c.Close()
-	return true
+	return &tunnel{Conn: tcp, tcp: tcp, peer: peer.Addr, framed: framed}, nil
 }
 
 // requestTunnel asks a peer for a tunnel and reads its response. It reports whether the
--- a/internal/kcdetour/tunnel.go
+++ b/internal/kcdetour/tunnel.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/zeebo/errs"
@@ -43,10 +42,6 @@
 	// framed is false if the peer does not send frames. The end of such a tunnel does not
 	// tell what has ended.
 	framed bool
-	// peerLives reports whether the peer still passes connections on to the upstream.
-	peerLives func() bool
-	// written is the size of the last write.
-	written atomic.Int64
 
 	// head holds the first headLen bytes of the head of a frame, left is the number of
 	// bytes of the current frame that have not been read.
@@ -60,12 +55,6 @@
 // Via returns the address of the peer.
 func (t *tunnel) Via() string { return t.peer }
 
-// Write sends a request to the upstream.
-func (t *tunnel) Write(p []byte) (int, error) {
-	t.written.Store(int64(len(p)))
-	return t.Conn.Write(p)
-}
-
 // SyscallConn returns the raw connection to the peer.
 func (t *tunnel) SyscallConn() (syscall.RawConn, error) { return t.tcp.SyscallConn() }
 
@@ -86,9 +75,7 @@
 		case n > 0:
 			return n, nil
 		case errors.Is(err, io.EOF) && !t.ended:
-			if t.ended = t.endedWithUpstream(); !t.ended {
-				return 0, errTunnelEnded
-			}
+			return 0, errTunnelEnded
 		case err != nil:
 			return 0, err
 		}
@@ -99,14 +86,6 @@
 	return 0, nil
 }
 
-// endedWithUpstream reports whether a tunnel without frames has ended because its
-// upstream has. A peer without frames closes a tunnel in order for that reason, after it
-// has refused further ones, or when it ends; or if a write to the upstream has failed,
-// which needs a request that does not fit into the buffers.
-func (t *tunnel) endedWithUpstream() bool {
-	return !t.framed && t.written.Load() <= copyBufferBytes && t.peerLives()
-}
-
 // decode removes the heads of frames from b and returns the number of bytes that are
 // left.
 func (t *tunnel) decode(b []byte) (n int) {
