kcdetour: Keep what peers send behind the head of a tunnel

An instance that is cut off lost its way through a peer for a second, to all upstreams, if one of them closed new connections in order: the frame that tells so may come together with the response of the peer, which counted as a failed tunnel. The same holds for the notice of a stop.

What was read ahead belongs to the tunnel now.

--- a/internal/kcdetour/dialer.go
+++ b/internal/kcdetour/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -392,7 +393,7 @@
 		return nil, errs.New("the connection to peer %s is no TCP connection", peer.Addr)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = tcp.SetDeadline(time.Now()) })
-	framed, err := requestTunnel(tcp, peer, addr)
+	t, err := requestTunnel(tcp, peer, addr)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -400,32 +401,34 @@
 		_ = tcp.Close()
 		return nil, err
 	}
-	return &tunnel{Conn: tcp, tcp: tcp, peer: peer.Addr, framed: framed}, nil
+	return t, nil
 }
 
-// requestTunnel asks a peer for a tunnel and reads its response. It reports whether the
-// peer sends frames. The peer sends nothing else before this side does.
-func requestTunnel(tcp *net.TCPConn, peer Peer, addr string) (framed bool, err error) {
+// requestTunnel asks a peer for a tunnel and reads its response. Frames may follow at
+// once.
+func requestTunnel(tcp *net.TCPConn, peer Peer, addr string) (*tunnel, error) {
 	query := url.Values{instanceParam: {peer.ID}}
-	_, err = io.WriteString(tcp, "GET "+TunnelPath+addr+"?"+query.Encode()+" HTTP/1.1\r\nHost: "+peer.Addr+
+	_, err := io.WriteString(tcp, "GET "+TunnelPath+addr+"?"+query.Encode()+" HTTP/1.1\r\nHost: "+peer.Addr+
 		"\r\nConnection: Upgrade\r\nUpgrade: "+framedProtocol+", "+bareProtocol+"\r\n\r\n")
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	br := bufio.NewReader(io.LimitReader(tcp, maxHeadBytes))
 	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	_ = resp.Body.Close() // of the head alone: the connection is closed or becomes the tunnel
-	if resp.StatusCode == http.StatusSwitchingProtocols && br.Buffered() == 0 {
-		return resp.Header.Get("Upgrade") == framedProtocol, nil
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		ahead, err := br.Peek(br.Buffered())
+		framed := resp.Header.Get("Upgrade") == framedProtocol
+		return &tunnel{Conn: tcp, tcp: tcp, peer: peer.Addr, framed: framed, ahead: bytes.Clone(ahead)}, err
 	}
 	switch Failure(resp.Header.Get(failureHeader)) {
 	case Refused:
-		return false, errUpstreamRefuses
+		return nil, errUpstreamRefuses
 	case TimedOut, Reset, Other:
-		return false, errUpstreamUnreached
+		return nil, errUpstreamUnreached
 	}
-	return false, errs.New("the peer answered with status %d (%s)", resp.StatusCode, resp.Header.Get(failureHeader))
+	return nil, errs.New("the peer answered with status %d (%s)", resp.StatusCode, resp.Header.Get(failureHeader))
 }
--- a/internal/kcdetour/tunnel.go
+++ b/internal/kcdetour/tunnel.go
@@ -43,6 +43,8 @@
 	// tell what has ended.
 	framed bool
 
+	// ahead holds what was read together with the response of the peer.
+	ahead []byte
 	// head holds the first headLen bytes of the head of a frame, left is the number of
 	// bytes of the current frame that have not been read.
 	head    [frameHeadBytes]byte
@@ -61,13 +63,15 @@
 // AtRest reports whether the tunnel may carry another request: its upstream has not ended
 // the connection, the peer does not stop, and no part of a frame was read whose rest is
 // still to come.
-func (t *tunnel) AtRest() bool { return !t.ended && !t.stopping && t.headLen == 0 && t.left == 0 }
+func (t *tunnel) AtRest() bool {
+	return !t.ended && !t.stopping && t.headLen == 0 && t.left == 0 && len(t.ahead) == 0
+}
 
 // Read reads what the upstream has sent. It returns io.EOF only if the upstream has ended
 // its connection in order.
 func (t *tunnel) Read(p []byte) (int, error) {
 	for len(p) > 0 && !t.ended {
-		n, err := t.Conn.Read(p)
+		n, err := t.readFrames(p)
 		if t.framed {
 			n = t.decode(p[:n])
 		}
@@ -86,6 +90,15 @@
 	return 0, nil
 }
 
+func (t *tunnel) readFrames(p []byte) (int, error) {
+	if len(t.ahead) > 0 {
+		n := copy(p, t.ahead)
+		t.ahead = t.ahead[n:]
+		return n, nil
+	}
+	return t.Conn.Read(p)
+}
+
 // decode removes the heads of frames from b and returns the number of bytes that are
 // left.
 func (t *tunnel) decode(b []byte) (n int) {
--- /dev/null
+++ b/internal/kcdetour/tunnel_faults_test.go
@@ -0,0 +1,120 @@
+package kcdetour_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcconn"
+	"github.com/kingcuprail/kingcuprail/internal/kcdetour"
+	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
+)
+
+// serveScriptedPeer runs a peer that sends head with its first response and, after the
+// first byte of a request, rest. It keeps the connection open.
+func serveScriptedPeer(t *testing.T, head, rest string) kcdetour.Peer {
+	t.Helper()
+	return kcdetour.Peer{ID: "7", Addr: serveTCP(t, func(c *net.TCPConn) {
+		t.Cleanup(func() { _ = c.Close() })
+		br := bufio.NewReader(c)
+		for line := ""; line != "\r\n"; {
+			var err error
+			if line, err = br.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(c, head)
+		if rest != "" {
+			_, _ = br.ReadByte()
+			_, _ = io.WriteString(c, rest)
+		}
+	})}
+}
+
+// Guards against a request that is sent on a tunnel whose upstream has ended its
+// connection right after a response with a length.
+func TestTunnelAfterTheEndOfItsUpstreamIsNotReused(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 5\r\n\r\nhello"
+	peer := serveScriptedPeer(t, upgraded+"kingcuprail-tunnel/2\r\n\r\n", "\x00"+string(rune(len(response)))+response+"\x00\x00")
+	p := newDetouredPool(kcclock.System{}, peer)
+	defer p.Close()
+	if err := fetchThrough(t.Context(), p, "127.0.0.1:1"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := fetchThrough(ctx, p, "127.0.0.1:1")
+	var failure *kcconn.Error
+	if errors.As(err, &failure) && failure.MaybeSent {
+		t.Errorf("the request was sent on the ended tunnel: %v", err)
+	}
+}
+
+// Guards against a peer that counts as unhelpful because an upstream closes a new
+// connection in order, as at its limit of connections, or because the peer begins to
+// stop: the first frame comes together with the head of the response.
+func TestFramesRightBehindTheHeadBelongToTheTunnel(t *testing.T) {
+	for name, frame := range map[string]string{"end of the upstream": "\x00\x00", "stop notice": "\xff\xff"} {
+		peer := serveScriptedPeer(t, upgraded+"kingcuprail-tunnel/2\r\n\r\n"+frame, "")
+		c, err := newDialer(kcclock.System{}, peer).Dial(t.Context(), "127.0.0.1:1")
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		_ = c.Close()
+	}
+}
+
+// Guards against an instance that loses its way to all upstreams for a second because one
+// of them closes new connections in order.
+func TestUpstreamThatClosesConnectionsCostsNoOtherOneItsPeers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	up := serveTCP(t, func(c *net.TCPConn) { t.Cleanup(func() { _ = c.Close() }) })
+	lost := 0
+	const rounds = 100
+	for range rounds {
+		_, peer := newRelay(t)
+		d := newDialer(kcclock.System{}, peer)
+		if c, err := d.Dial(t.Context(), ln.Addr().String()); err == nil {
+			_ = c.Close()
+		}
+		c, err := d.Dial(t.Context(), up)
+		if err != nil {
+			lost++
+			continue
+		}
+		_ = c.Close()
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d times no tunnel to the other upstream", lost, rounds)
+	}
+}
+
+// Guards against an upstream that counts as alive because the tunnels through which it is
+// asked end without its end.
+func TestEndOfTunnelsDoesNotShowThatTheUpstreamLives(t *testing.T) {
+	peer := serveTunnel(t, "kingcuprail-tunnel/2", nil)
+	p := newDetouredPool(kcclock.System{}, peer)
+	defer p.Close()
+	if found := p.Liveness(t.Context(), "127.0.0.1:1", "/healthz", ""); found == kcconn.Lives {
+		t.Errorf("%v, want that it could not be asked", found)
+	}
+}
+
