--- a/internal/kcconn/ended.go
+++ b/internal/kcconn/ended.go
@@ -79,10 +79,10 @@
 			return Lives, nc
 		}
 		_ = nc.Close()
-		switch {
-		case sign == Lives, sign == Ended:
+		switch sign {
+		case Lives, Ended:
 			return sign, nil
-		case sign == "":
+		case "":
 			found = Lives
 		default:
 			if timeouts++; timeouts == maxDialTimeouts {
--- a/internal/kcdetour/relay.go
+++ b/internal/kcdetour/relay.go
@@ -175,9 +175,10 @@
 // are without traffic.
 func (r *Relay) Drain(ctx context.Context) {
 	r.mu.Lock()
+	told := r.draining
 	r.draining = true
 	for p := range r.tunnels {
-		if p.framed {
+		if p.framed && !told {
 			p.stop()
 		}
 	}
--- a/internal/kcdetour/tunnel_faults_test.go
+++ b/internal/kcdetour/tunnel_faults_test.go
@@ -118,3 +118,30 @@
 	}
 }
 
+// Guards against a tunnel that breaks because its relay is told to stop twice.
+func TestSecondStopOfRelayBreaksNoTunnel(t *testing.T) {
+	broken := 0
+	const rounds = 1500
+	up := serveTCP(t, func(c *net.TCPConn) { t.Cleanup(func() { _ = c.Close() }) })
+	for range rounds {
+		relay, peer := newRelay(t)
+		c, err := newDialer(kcclock.System{}, peer).Dial(t.Context(), up)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() { defer close(done); sweepOnce(relay) }()
+		sweepOnce(relay)
+		<-done
+		for range 3 {
+			pause(t)
+		}
+		if relay.Open() == 0 {
+			broken++
+		}
+		_ = c.Close()
+	}
+	if broken > 0 {
+		t.Errorf("%d of %d tunnels are broken", broken, rounds)
+	}
+}
