kcdetour: Deliver what a relay holds when its upstream resets the connection

A whole response with a length was lost behind a peer if its upstream reset the connection after it, as one that closes with unread data does: the relay resets the connection of the peer as well, and its kernel drops what the peer has not read yet.

With frames the reset is told by a notice behind the data, and the connection ends in order. Peers without frames are reset as before. What peers end, also by a reset, counts as relay.ended.peer.

TestTunnelPassesOnHowConnectionsEnd, which wants the reset at the peer, is unchanged.

--- a/internal/kcdetour/passage.go
+++ b/internal/kcdetour/passage.go
@@ -107,29 +107,30 @@
 		p.passRequests()
 		_ = p.far.Close()
 	}()
-	if err := p.passResponses(); err != nil {
+	end := p.passResponses()
+	if p.peerEnded.Load() {
+		end = endedByPeer
+	}
+	if end == endedByUpstream || p.framed && end == endedBroken {
+		p.endResponse(end)
+	} else {
 		p.resetAtEnd(true)
 		p.close()
-		<-toUpstream
-		if p.peerEnded.Load() {
-			return endedByPeer
-		}
-		return endedBroken
 	}
-	end := endedBroken
-	if p.awaitWrite() == nil && p.writeEnd() == nil {
-		end = endedByUpstream
+	<-toUpstream
+	return end
+}
+
+// endResponse ends the connection of the peer after what was sent on it, and without the
+// end of the upstream if that is not known.
+func (p *passage) endResponse(end passageEnd) {
+	if end == endedByUpstream {
 		p.resetAtEnd(false)
 	}
-	if tcp, ok := p.near.(*net.TCPConn); ok && (p.framed || end == endedByUpstream) {
-		// The end of the response must not overtake it.
+	if tcp, ok := p.near.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
-		_ = p.near.SetReadDeadline(time.Now().Add(lingerMs.Duration()))
-	} else {
-		p.close()
 	}
-	<-toUpstream
-	return end
+	_ = p.near.SetReadDeadline(time.Now().Add(lingerMs.Duration()))
 }
 
 // passRequests copies to the upstream until the peer ends. After a failed write it only
@@ -143,7 +144,7 @@
 			p.write(buf[:n])
 		}
 		if err != nil {
-			p.peerEnded.Store(errors.Is(err, io.EOF))
+			p.peerEnded.Store(!errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded))
 			return
 		}
 	}
@@ -166,26 +167,31 @@
 	return p.writeErr
 }
 
-// passResponses copies from the upstream until it ends its connection. It returns the
-// error that has ended one of the connections.
-func (p *passage) passResponses() error {
+// passResponses copies from the upstream until either side ends, and tells the peer how
+// the upstream has ended.
+func (p *passage) passResponses() passageEnd {
 	buf := make([]byte, frameHeadBytes+copyBufferBytes)
 	for {
 		n, err := p.far.Read(buf[frameHeadBytes:])
 		if n > 0 {
 			p.activeAt.Store(int64(p.clock.Now()))
-			if writeErr := p.writeFrame(buf[:frameHeadBytes+n]); writeErr != nil {
-				return writeErr
+			if p.writeFrame(buf[:frameHeadBytes+n]) != nil {
+				return endedByPeer
 			}
 		}
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded) && p.stopping.CompareAndSwap(true, false):
-			err = p.writeStopNotice()
+			if p.far.SetReadDeadline(time.Time{}) != nil || p.writeHead(stopNotice) != nil {
+				return endedBroken
+			}
 		case errors.Is(err, io.EOF):
-			return nil
-		}
-		if err != nil {
-			return err
+			if p.awaitWrite() == nil && p.writeHead(0) == nil {
+				return endedByUpstream
+			}
+			return endedBroken
+		case err != nil:
+			_ = p.writeHead(resetNotice) // the tunnel ends without it as well
+			return endedBroken
 		}
 	}
 }
@@ -196,14 +202,6 @@
 	_ = p.far.SetReadDeadline(time.Now()) // wakes passResponses
 }
 
-func (p *passage) writeStopNotice() error {
-	if err := p.far.SetReadDeadline(time.Time{}); err != nil {
-		return err
-	}
-	_, err := p.near.Write(binary.BigEndian.AppendUint16(nil, stopNotice))
-	return err
-}
-
 // writeFrame sends the bytes of b after the room for the head of a frame.
 func (p *passage) writeFrame(b []byte) error {
 	if !p.framed {
@@ -215,10 +213,11 @@
 	return err
 }
 
-// writeEnd tells the peer that the upstream has ended its connection in order.
-func (p *passage) writeEnd() error {
+// writeHead sends the head of a frame without bytes to a peer that knows frames.
+func (p *passage) writeHead(n uint16) error {
 	if !p.framed {
 		return nil
 	}
-	return p.writeFrame(make([]byte, frameHeadBytes))
+	_, err := p.near.Write(binary.BigEndian.AppendUint16(nil, n))
+	return err
 }
--- a/internal/kcdetour/tunnel.go
+++ b/internal/kcdetour/tunnel.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 
 	"github.com/zeebo/errs"
@@ -15,8 +16,8 @@
 const (
 	// framedProtocol sends the bytes of the upstream in frames: their number in two bytes
 	// (big-endian), then the bytes. An empty frame tells that the upstream has ended its
-	// connection in order. The number stopNotice, without bytes, tells that the peer is
-	// stopping and waits for the end of the tunnel.
+	// connection in order, the number resetNotice, without bytes, that it has broken. The
+	// number stopNotice tells that the peer is stopping and waits for the end of the tunnel.
 	framedProtocol = "kingcuprail-tunnel/2"
 	// bareProtocol sends the bytes of the upstream as they are. It is that of builds
 	// without frames.
@@ -26,14 +27,18 @@
 const (
 	// frameHeadBytes is the size of the head of a frame.
 	frameHeadBytes = 2
-	// stopNotice is above the size of all frames.
-	stopNotice = 1<<16 - 1
+	// stopNotice and resetNotice are above the size of all frames.
+	stopNotice  = 1<<16 - 1
+	resetNotice = 1<<16 - 2
 )
 
 // errTunnelEnded means that a tunnel has ended without the end of its upstream: the peer
 // may have ended.
 var errTunnelEnded = errs.New("the tunnel ended: %w", io.ErrUnexpectedEOF)
 
+// errTunnelReset means that the connection of a peer to an upstream has broken.
+var errTunnelReset = &net.OpError{Op: "read", Net: "tunnel", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+
 // tunnel is a connection to an upstream through a peer.
 type tunnel struct {
 	net.Conn
@@ -50,8 +55,9 @@
 	head    [frameHeadBytes]byte
 	headLen int
 	left    int
-	// ended is true after the empty frame, stopping after a stopNotice.
-	ended, stopping bool
+	// ended is true after the empty frame, reset after a resetNotice, and stopping after a
+	// stopNotice.
+	ended, reset, stopping bool
 }
 
 // Via returns the address of the peer.
@@ -64,13 +70,13 @@
 // the connection, the peer does not stop, and no part of a frame was read whose rest is
 // still to come.
 func (t *tunnel) AtRest() bool {
-	return !t.ended && !t.stopping && t.headLen == 0 && t.left == 0 && len(t.ahead) == 0
+	return !t.ended && !t.reset && !t.stopping && t.headLen == 0 && t.left == 0 && len(t.ahead) == 0
 }
 
 // Read reads what the upstream has sent. It returns io.EOF only if the upstream has ended
 // its connection in order.
 func (t *tunnel) Read(p []byte) (int, error) {
-	for len(p) > 0 && !t.ended {
+	for len(p) > 0 && !t.ended && !t.reset {
 		n, err := t.readFrames(p)
 		if t.framed {
 			n = t.decode(p[:n])
@@ -78,14 +84,18 @@
 		switch {
 		case n > 0:
 			return n, nil
-		case errors.Is(err, io.EOF) && !t.ended:
+		case t.ended, t.reset:
+		case errors.Is(err, io.EOF):
 			return 0, errTunnelEnded
 		case err != nil:
 			return 0, err
 		}
 	}
-	if t.ended {
+	switch {
+	case t.ended:
 		return 0, io.EOF
+	case t.reset:
+		return 0, errTunnelReset
 	}
 	return 0, nil
 }
@@ -102,7 +112,7 @@
 // decode removes the heads of frames from b and returns the number of bytes that are
 // left.
 func (t *tunnel) decode(b []byte) (n int) {
-	for i := 0; i < len(b) && !t.ended; {
+	for i := 0; i < len(b) && !t.ended && !t.reset; {
 		if t.left > 0 {
 			k := copy(b[n:], b[i:min(len(b), i+t.left)])
 			n, i, t.left = n+k, i+k, t.left-k
@@ -122,6 +132,8 @@
 	switch size {
 	case 0:
 		t.ended = true
+	case resetNotice:
+		t.reset = true
 	case stopNotice:
 		t.stopping = true
 	default:
--- a/internal/kcdetour/tunnel_faults_test.go
+++ b/internal/kcdetour/tunnel_faults_test.go
@@ -6,6 +6,9 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -107,6 +110,38 @@
 	}
 }
 
+// Guards against idle tunnels that count as broken at a relay that stops.
+func TestStopOfRelayCountsIdleTunnelsAsEndedByPeers(t *testing.T) {
+	up := serveTCP(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 5\r\n\r\nhello")
+		t.Cleanup(func() { _ = c.Close() })
+	})
+	clock := kcclock.NewManual(10_000)
+	relay, peer := newRelay(t)
+	relay.Clock = clock
+	var mu sync.Mutex
+	counts := map[string]int{}
+	relay.Count = func(name string) {
+		mu.Lock()
+		defer mu.Unlock()
+		counts[name]++
+	}
+	p := newDetouredPool(clock, peer)
+	if err := fetchThrough(t.Context(), p, up); err != nil {
+		t.Fatal(err)
+	}
+	sweepOnce(relay)
+	for relay.Open() > 0 {
+		p.Prune(func(string) bool { return true })
+		pause(t)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if counts["relay.ended.peer"] != 1 {
+		t.Errorf("%v, want relay.ended.peer", counts)
+	}
+}
+
 // Guards against an upstream that counts as alive because the tunnels through which it is
 // asked end without its end.
 func TestEndOfTunnelsDoesNotShowThatTheUpstreamLives(t *testing.T) {
@@ -118,6 +153,31 @@
 	}
 }
 
+// Guards against a whole response with a length that a relay drops because its upstream
+// resets the connection after it.
+func TestResetAfterWholeResponseLosesNothingOfIt(t *testing.T) {
+	const size = 1 << 20
+	up := serveTCP(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 1048576\r\n\r\n"+strings.Repeat("x", size))
+		_ = kcclock.Wait(t.Context(), kcclock.System{}, 300) // the relay has read everything
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+	_, peer := newRelay(t)
+	p := newDetouredPool(kcclock.System{}, peer)
+	defer p.Close()
+	resp, err := p.Do(t.Context(), up, &kcconn.Request{Method: http.MethodGet, Target: "/", Host: up, ID: "q"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = kcclock.Wait(t.Context(), kcclock.System{}, 600)
+	n, err := io.Copy(io.Discard, resp.Body)
+	resp.Abort()
+	if err != nil {
+		t.Errorf("%d of %d bytes, %v", n, size, err)
+	}
+}
+
 // Guards against a tunnel that breaks because its relay is told to stop twice.
 func TestSecondStopOfRelayBreaksNoTunnel(t *testing.T) {
 	broken := 0
