kcdetour: Ask peers without frames last

Behind a peer of an earlier build, whole responses without framing count as broken, since the end of its tunnels says nothing. While machines are upgraded, peers of both builds help: those that have opened a tunnel without frames are asked after the others.

TestPeersWithoutFramesAreAskedLast. If there are earlier builds only, such responses are still lost.

--- a/internal/kcdetour/dialer.go
+++ b/internal/kcdetour/dialer.go
@@ -18,6 +18,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/kingcuprail/kingcuprail/internal/kcset"
 	"github.com/kingcuprail/kingcuprail/pkg/kcclock"
 )
 
@@ -84,7 +85,10 @@
 	ownAt   map[string]kcclock.Millis
 	// unhelpfulUntil holds the peers that could not help lately.
 	unhelpfulUntil map[string]kcclock.Millis
-	cutOff         bool
+	// bare holds the peers whose last tunnel had no frames. Responses without framing
+	// cannot be told to be whole behind these.
+	bare   kcset.Set[string]
+	cutOff bool
 }
 
 // detour is the state of an upstream that is reached through peers.
@@ -341,21 +345,41 @@
 	d.cutOff = d.cutOff && len(d.detours) > 0
 }
 
-// helpfulPeers returns the peers that may help. While no instance reaches the upstreams,
-// that is none for most of the time, and a request is rejected at once.
+// helpfulPeers returns the peers that may help, those without frames last. While no
+// instance reaches the upstreams, that is none for most of the time, and a request is
+// rejected at once.
 func (d *Dialer) helpfulPeers() []Peer {
 	list, now := d.Peers(), d.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var bare []Peer
 	helpful := make([]Peer, 0, len(list))
 	for _, p := range list {
 		if now < d.unhelpfulUntil[p.Addr] {
 			continue
 		}
 		delete(d.unhelpfulUntil, p.Addr)
+		if d.bare.Has(p.Addr) {
+			bare = append(bare, p)
+			continue
+		}
 		helpful = append(helpful, p)
 	}
-	return helpful
+	return append(helpful, bare...)
+}
+
+// recordProtocol records whether a peer sends frames.
+func (d *Dialer) recordProtocol(p Peer, framed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case framed:
+		delete(d.bare, p.Addr)
+	case d.bare == nil:
+		d.bare = kcset.New(p.Addr)
+	default:
+		d.bare.Add(p.Addr)
+	}
 }
 
 func (d *Dialer) recordUnhelpful(p Peer) {
@@ -401,6 +425,7 @@
 		_ = tcp.Close()
 		return nil, err
 	}
+	d.recordProtocol(peer, t.framed)
 	return t, nil
 }
 
--- a/internal/kcdetour/end_test.go
+++ b/internal/kcdetour/end_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// Guards against whole responses that are lost behind a peer without frames while another
+// one could pass them on.
+func TestPeersWithoutFramesAreAskedLast(t *testing.T) {
+	up := serveTCP(t, func(c *net.TCPConn) { t.Cleanup(func() { _ = c.Close() }) })
+	bare := serveTunnel(t, "kingcuprail-tunnel", nil)
+	_, framed := newRelay(t)
+	d := newDialer(kcclock.System{}, bare, framed)
+	for n, want := range []kcdetour.Peer{bare, framed, framed} {
+		c, err := d.Dial(t.Context(), up)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if via := c.(interface{ Via() string }).Via(); via != want.Addr {
+			t.Errorf("dial %d leads through %s, want %s", n, via, want.Addr)
+		}
+		_ = c.Close()
+	}
+}
+
 // requestBareTunnel asks a relay for a tunnel as builds without frames do.
 func requestBareTunnel(ctx context.Context, peer kcdetour.Peer, upstream string) (net.Conn, error) {
 	c, err := dialTCP(ctx, peer.Addr)
