--- a/internal/kcdetour/tunnel_faults_test.go
+++ b/internal/kcdetour/tunnel_faults_test.go
@@ -153,6 +153,31 @@
 	}
 }
 
+// Guards against a whole response that a relay loses because its peer does not read for
+// longer than the limit on silence.
+func TestSlowReaderLosesNoResponseBehindARelay(t *testing.T) {
+	const size = 24 << 20
+	up := serveTCP(t, func(c *net.TCPConn) {
+		go func() {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 25165824\r\n\r\n"+strings.Repeat("x", size))
+		}()
+		t.Cleanup(func() { _ = c.Close() })
+	})
+	relay, peer := newRelay(t)
+	relay.UnackedTimeoutMs = 2500
+	p := newDetouredPool(kcclock.System{}, peer)
+	defer p.Close()
+	resp, err := p.Do(t.Context(), up, &kcconn.Request{Method: http.MethodGet, Target: "/", Host: up, ID: "q"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = kcclock.Wait(t.Context(), kcclock.System{}, 4000)
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Errorf("%d of %d bytes, %v", n, size, err)
+	}
+	resp.Abort()
+}
+
 // Guards against a whole response with a length that a relay drops because its upstream
 // resets the connection after it.
 func TestResetAfterWholeResponseLosesNothingOfIt(t *testing.T) {
@@ -178,6 +203,69 @@
 	}
 }
 
+// Guards against a whole response without framing that counts as broken because the peer
+// on its way has begun to stop and no other one can be asked.
+func TestWholeResponseThroughAStoppingPeerIsWhole(t *testing.T) {
+	answer := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/healthz" {
+			return
+		}
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: q\r\n\r\nhel")
+		<-answer
+		_, _ = io.WriteString(nc, "lo")
+		_ = nc.Close()
+	})}
+	go func() { _ = s.Serve(ln) }()
+	defer func() { _ = s.Close() }()
+	up := ln.Addr().String()
+	relay, peer := newRelay(t)
+	p := newDetouredPool(kcclock.System{}, peer)
+	defer p.Close()
+	resp, err := p.Do(t.Context(), up, &kcconn.Request{Method: http.MethodGet, Target: "/", Host: up, ID: "q"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sweepOnce(relay)
+	close(answer)
+	body, err := io.ReadAll(resp.Body)
+	if err == nil {
+		err = resp.CheckEnd(t.Context(), "/healthz", "")
+	}
+	if err != nil || string(body) != "hello" {
+		t.Errorf("%q, %v%s", body, err, resp.Path())
+	}
+	resp.Finish()
+}
+
+// Guards against an upstream that counts as crashed, and the prompt of its request as the
+// cause, because an instance that is cut off finds no peer that helps: what refuses then
+// is its own way, not the upstream.
+func TestRefusalOfTheOwnWayIsNoRefusalOfTheUpstream(t *testing.T) {
+	up := serveTCP(t, func(c *net.TCPConn) { t.Cleanup(func() { _ = c.Close() }) })
+	relay, peer := newRelay(t)
+	p := newDetouredPool(kcclock.System{}, peer)
+	defer p.Close()
+	if p.Refuses(t.Context(), up) {
+		t.Fatal("the upstream is not reached through the peer")
+	}
+	sweepOnce(relay)
+	if p.Refuses(t.Context(), up) {
+		t.Error("the upstream counts as crashed while its peer stops")
+	}
+	if found := p.Liveness(t.Context(), up, "/healthz", ""); found == kcconn.Ended {
+		t.Errorf("%s, want that it could not be asked", found)
+	}
+}
+
 // Guards against a tunnel that breaks because its relay is told to stop twice.
 func TestSecondStopOfRelayBreaksNoTunnel(t *testing.T) {
 	broken := 0
