kcresponse: Refuse heads that hold a second status line

Cause: the two make one valid head. It has the status of the copy, and the id, the fields and the body of the response, so that the id does not tell them apart.

Evidence: three cases of TestLateCopiesAreNotTakenForResponses, "... that breaks off in front of ...", on the code before status 404 for requests that succeeded, on connections of an instance and through a peer.

A status line within the reason phrase or the value of a field is an error now, at both doors.

--- a/internal/kcgate/late_copy_test.go
+++ b/internal/kcgate/late_copy_test.go
@@ -347,7 +347,7 @@
 			events = append(events, "id: "+itoa(n)+"\ndata: "+text+"\n\n")
 		}
 		if word == "half" || word == "begin" {
-			stream(&b, r.lastReq, "", events[:copyEvents/2]...)
+			stream(&b, r.lastReq, "", events[:len(events)/2]...)
 			return b.String()
 		}
 		stream(&b, r.lastReq, "", events...)
@@ -381,6 +381,10 @@
 		return without("Content-Length") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + lastChunk
 	case "short":
 		return without("Content-Length") + "Content-Length: 9999\r\n\r\n" + body
+	case "status":
+		return "HTTP/1.1 404 Not Fou"
+	case "field":
+		return "HTTP/1.1 404 Not Found\r\nContent-Type: text/pl"
 	case "head":
 		return head + "\r\n\r\n"
 	case "tail":
--- a/internal/kcresponse/head.go
+++ b/internal/kcresponse/head.go
@@ -4,6 +4,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/zeebo/errs"
 	"golang.org/x/net/http/httpguts"
@@ -30,16 +32,40 @@
 		return errs.New("the response has the invalid status %.64q", resp.Status)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return errs.New("the response switches protocols, which the request has not asked for")
+	case holdsStatusLine(resp.Status):
+		return errs.New("the status line %.64q holds another one", resp.Status)
 	}
-	for name := range resp.Header {
+	for name, values := range resp.Header {
 		// net/http accepts blanks. A field such as "Content-Length " is then no length.
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errs.New("the name %.64q of a field of the response is not valid", name)
 		}
+		if slices.ContainsFunc(values, holdsStatusLine) {
+			return errs.New("the field %.64q of the response holds a status line", name)
+		}
 	}
 	return nil
 }
 
+// holdsStatusLine reports whether a line of a head holds a status line. An earlier head
+// on the connection has broken off in that line then, and what follows belongs to another
+// response.
+func holdsStatusLine(line string) bool {
+	const version, status = "HTTP/1.", "1 200"
+	for {
+		_, rest, found := strings.Cut(line, version)
+		if !found {
+			return false
+		}
+		if len(rest) >= len(status) && isDigits(rest[:1]) && rest[1] == ' ' && isDigits(rest[2:len(status)]) {
+			return true
+		}
+		line = rest
+	}
+}
+
+func isDigits(s string) bool { return strings.Trim(s, "0123456789") == "" }
+
 // maxErrorText is the size in bytes of the text of an error that quotes a response. The
 // errors of connections, which callers tell apart, are shorter.
 const maxErrorText = 256
