--- a/internal/kcgate/late_copy_test.go
+++ b/internal/kcgate/late_copy_test.go
@@ -48,6 +48,9 @@
 	lastReq          *http.Request
 	lastConn         net.Conn
 	runs             int
+	// callOf holds the header "Call" of the requests that were run, by the number of the
+	// run.
+	callOf map[int]string
 }
 
 // Guards against responses that callers get in place of their own, or in parts, and
@@ -70,7 +73,7 @@
 
 func newCopyRun(t *testing.T, throughPeer bool, script string) *copyRun {
 	t.Helper()
-	r := &copyRun{t: t, written: make(chan struct{}, 16)}
+	r := &copyRun{t: t, written: make(chan struct{}, 16), callOf: make(map[int]string)}
 	r.engines = []*engine{newEngine(t, r.answer)}
 	if strings.HasPrefix(script, "upstreams 2\n") {
 		r.engines = append(r.engines, newEngine(t, r.answer))
@@ -148,9 +151,9 @@
 }
 
 // send sends a request and returns what its caller gets.
-func (r *copyRun) send(words []string) string {
+func (r *copyRun) send(words []string, header ...string) string {
 	r.t.Helper()
-	header := []string{"Request-Id", words[1]}
+	header = append([]string{"Request-Id", words[1]}, header...)
 	ctx, cancel := context.WithCancel(r.t.Context())
 	defer cancel()
 	for _, option := range words[2:] {
@@ -324,6 +327,7 @@
 	id := r.lastReq.Header.Get("Request-Id")
 	if !strings.HasPrefix(word, "refuse") {
 		r.runs++
+		r.callOf[r.runs] = r.lastReq.Header.Get("Call")
 	}
 	text := id + "/" + strconv.Itoa(r.runs)
 	var b strings.Builder
