--- a/internal/kcupstream/late_copy_test.go
+++ b/internal/kcupstream/late_copy_test.go
@@ -128,6 +128,9 @@
 		if res.Err != nil {
 			return "error"
 		}
+		if res.Status != http.StatusOK {
+			return strconv.Itoa(res.Status) + " " + string(res.Body)
+		}
 		return string(res.Body)
 	}
 	stream, _, err := u.client.Stream(u.t.Context(), u.target, id, []byte("body"))
@@ -306,6 +309,12 @@
 		return without("Content-Length") + "\r\n" + body
 	case "chunked":
 		return without("Content-Length") + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + lastChunk
+	case "short":
+		return without("Content-Length") + "Content-Length: 999\r\n\r\n" + body
+	case "status":
+		return "HTTP/1.1 404 Not Fou"
+	case "field":
+		return "HTTP/1.1 404 Not Found\r\nContent-Type: text/pl"
 	case "tail":
 		return response[len(response)/2:]
 	case "rest":
