kcgate: Do not charge the end of a path to the upstream

Since the end of a tunnel without the end of its upstream is an error, callers of an instance that is cut off got 503 at once while upstreams were in reach: the error counted as a failure of the upstream, and three of them open its breaker.

Such errors, and responses whose upstream could not be asked, are neutral for breakers, error rates and roll-outs. What is known of the request stays as it was.

--- a/internal/kcconn/response_end.go
+++ b/internal/kcconn/response_end.go
@@ -13,9 +13,13 @@
 // answer before the end of a response without framing counts as its end.
 const endSettleMs = 250 * kcclock.Millisecond
 
+// ErrPathEnded means that a connection has ended on the way to a server, which says
+// nothing about the server.
+var ErrPathEnded = errs.New("the path to the upstream ended")
+
 var (
 	errCrashedAtEnd  = errs.New("the upstream has ended with a response without framing")
-	errNotAskedAtEnd = errs.New("the upstream could not be asked at the end of a response without framing")
+	errNotAskedAtEnd = errs.New("a response without framing may be incomplete: %w before the upstream was asked", ErrPathEnded)
 )
 
 // CheckEnd returns an error if the body of a response may be incomplete although its
--- a/internal/kcdetour/tunnel.go
+++ b/internal/kcdetour/tunnel.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/zeebo/errs"
+
+	"github.com/kingcuprail/kingcuprail/internal/kcconn"
 )
 
 // Protocols that a connection to a peer changes to. In both, the bytes for the upstream
@@ -34,7 +36,7 @@
 
 // errTunnelEnded means that a tunnel has ended without the end of its upstream: the peer
 // may have ended.
-var errTunnelEnded = errs.New("the tunnel ended: %w", io.ErrUnexpectedEOF)
+var errTunnelEnded = errs.New("tunnel: %w: %w", kcconn.ErrPathEnded, io.ErrUnexpectedEOF)
 
 // errTunnelReset means that the connection of a peer to an upstream has broken.
 var errTunnelReset = &net.OpError{Op: "read", Net: "tunnel", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
--- a/internal/kcgate/attempt.go
+++ b/internal/kcgate/attempt.go
@@ -328,7 +328,7 @@
 	sent := !errors.As(err, &failure) || failure.MaybeSent
 	callerLeft := x.r.Context().Err() != nil
 	switch {
-	case callerLeft:
+	case callerLeft, errors.Is(err, kcconn.ErrPathEnded):
 		x.g.Upstreams.release(c, outcomeNeutral)
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUpstreamSilent):
 		// The deadline may be too short for any upstream, so this does not count
@@ -347,7 +347,7 @@
 	case errors.Is(context.Cause(ctx), errUpstreamSilent):
 		x.g.Rollouts.recordOutcome(x.service, c, x.route.Name, kcrollout.Slow, true)
 		x.g.Rollouts.recordOutcome(x.service, c, x.route.Name, kcrollout.VerySlow, true)
-	case ctx.Err() == nil && x.g.Upstreams.recordInterruption(c):
+	case ctx.Err() == nil && !errors.Is(err, kcconn.ErrPathEnded) && x.g.Upstreams.recordInterruption(c):
 		x.recordOutcome(c, true)
 	}
 	return resultNoAnswer
--- a/internal/kcgate/response.go
+++ b/internal/kcgate/response.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		resp.Abort()
 		finish(maybeRan, "body: "+err.Error()+resp.Path())
-		x.releaseInterrupted(ctx, c)
+		x.releaseInterrupted(ctx, c, err)
 		return resultNoAnswer
 	}
 	x.g.Upstreams.recordAnswer(c, isServerError(resp.StatusCode))
@@ -118,9 +118,10 @@
 	}
 }
 
-// releaseInterrupted releases an upstream that aborted its response.
-func (x *exchange) releaseInterrupted(ctx context.Context, c *pickedUpstream) {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUpstreamSilent) {
+// releaseInterrupted releases an upstream whose response has broken off with an error.
+func (x *exchange) releaseInterrupted(ctx context.Context, c *pickedUpstream, err error) {
+	givenUp := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errUpstreamSilent)
+	if givenUp || errors.Is(err, kcconn.ErrPathEnded) {
 		x.g.Upstreams.release(c, outcomeNeutral)
 		return
 	}
@@ -191,7 +192,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	finish(maybeRan, interruption.Error()+resp.Path())
-	x.releaseInterrupted(ctx, c)
+	x.releaseInterrupted(ctx, c, interruption)
 	if !x.headerWritten {
 		return resultNoAnswer
 	}
@@ -360,7 +361,7 @@
 		if errors.As(err, &failure) && !failure.MaybeSent {
 			s.execution = notSent
 		}
-		x.releaseInterrupted(ctx, c)
+		x.releaseInterrupted(ctx, c, err)
 		return false
 	}
 	s.progress = headerOnly
@@ -381,7 +382,7 @@
 			x.reason = reasonCallerLeft
 			panic(http.ErrAbortHandler)
 		}
-		x.releaseInterrupted(ctx, c)
+		x.releaseInterrupted(ctx, c, err)
 		return false
 	}
 	s.execution, s.detail = ran, "resumed to the end"+resp.Path()
