kcsoak: Play ends of peers side by side

With the tests of ending peers and of two builds the package took 233 s of its 240 s with the race detector on a busy machine. The setting of the race detector is made once for all.

--- a/internal/kcsoak/partition_test.go
+++ b/internal/kcsoak/partition_test.go
@@ -55,8 +55,6 @@
 func runPartitions(t *testing.T, seed uint64) {
 	t.Helper()
 	const callers = 24
-	// The instances are test binaries. With the race detector these sleep at their exit.
-	t.Setenv("GORACE", "atexit_sleep_ms=0")
 	s := newSoakRunWithoutInstances(t, seed)
 	s.callersStay = true
 	for _, u := range s.upstreams {
--- a/internal/kcsoak/peer_end_test.go
+++ b/internal/kcsoak/peer_end_test.go
@@ -35,8 +35,10 @@
 // whole.
 // testdata/peerEndSeeds.txt lists seeds that failed before.
 func TestSoakOfPeersThatEnd(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seedsToRun(t, "testdata/peerEndSeeds.txt") {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			runPeerEnds(t, seed, upgrade{End: endPassing, Unframed: 4})
 		})
 	}
@@ -45,7 +47,6 @@
 func runPeerEnds(t *testing.T, seed uint64, up upgrade) {
 	t.Helper()
 	const callers = 24
-	t.Setenv("GORACE", "atexit_sleep_ms=0")
 	s := newSoakRunWithoutInstances(t, seed)
 	rnd := rand.New(rand.NewPCG(seed, 3))
 	for n := range max(cutInstances+passingInstances, *instanceCount) {
--- a/internal/kcsoak/soak_test.go
+++ b/internal/kcsoak/soak_test.go
@@ -45,6 +45,10 @@
 		panic(err)
 	}
 	programDir = dir
+	// Instances may be test binaries. With the race detector these sleep at their exit.
+	if err := os.Setenv("GORACE", "atexit_sleep_ms=0"); err != nil {
+		panic(err)
+	}
 	if programPath, err = kcprogram.Build(dir, "../.."); err != nil {
 		panic(err)
 	}
--- a/internal/kcsoak/upgrade_test.go
+++ b/internal/kcsoak/upgrade_test.go
@@ -208,8 +208,10 @@
 // of the earlier build behind another one may take a response that ends early for whole.
 // testdata/upgradeSeeds.txt lists seeds that failed before.
 func TestSoakOfPeersOfEarlierBuild(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seedsToRun(t, "testdata/upgradeSeeds.txt") {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			runPeerEnds(t, seed, upgradeOf(t, seed).withEarlierBuild(t))
 		})
 	}
