kcconn: Keep no connection of which a check has read

A check of a server that needs no probe keeps its connection for the next request. If the server had written a response unasked, the check had taken it from the connection, and a request was sent on it although bytes had come that belong to no request.

A connection is kept only if nothing was read from it, and the check does not wait for the body of an answer.

Evidence: TestConnectionOfWhichACheckHasReadIsNotKept, "1 connections, want 2" without the condition.

--- a/internal/kcconn/ended.go
+++ b/internal/kcconn/ended.go
@@ -70,13 +70,9 @@
 			}
 			continue
 		}
-		sign := e.signOfLife(ctx, nc)
-		switch {
-		case ctx.Err() != nil:
-			_ = nc.Close()
-			return Unknown, nil
-		case sign == Lives && len(e.Probe) == 0:
-			return Lives, nc
+		sign, keep := e.signOfLife(ctx, nc)
+		if keep {
+			return sign, nc
 		}
 		_ = nc.Close()
 		switch sign {
@@ -85,7 +81,7 @@
 		case "":
 			found = Lives
 		default:
-			if timeouts++; timeouts == maxDialTimeouts {
+			if timeouts++; timeouts == maxDialTimeouts || ctx.Err() != nil {
 				return Unknown, nil
 			}
 		}
@@ -94,30 +90,33 @@
 }
 
 // signOfLife returns what a new connection shows about the server, or nothing if the
-// server closes it. It lives if it answers or keeps the connection open. Somebody on the
-// way may end the connection as well.
-func (e EndCheck) signOfLife(ctx context.Context, nc net.Conn) Liveness {
+// server closes it, and whether the connection can carry a request. The server lives if
+// it answers or keeps the connection open. Somebody on the way may end the connection as
+// well.
+func (e EndCheck) signOfLife(ctx context.Context, nc net.Conn) (sign Liveness, keep bool) {
 	defer context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Now()) })()
 	if nc.SetDeadline(time.Now().Add(e.SettleMs.Duration())) != nil {
-		return ""
+		return "", false
 	}
 	if _, err := nc.Write(e.Probe); err != nil {
-		return ""
+		return "", false
 	}
 	answer := &probeAnswer{Reader: nc}
+	//nolint:bodyclose // the connection is closed next
 	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(answer, maxHeaderBytes)), nil)
-	if err == nil {
-		_ = resp.Body.Close() // the connection is closed next
-	}
 	switch {
+	case ctx.Err() != nil:
+		return Unknown, false
 	case err == nil && e.IsServer != nil && !e.IsServer(resp.Header):
-		return Ended
-	case answer.n > 0, errors.Is(answer.err, os.ErrDeadlineExceeded) && nc.SetDeadline(time.Time{}) == nil:
-		return Lives
+		return Ended, false
+	case answer.n > 0:
+		return Lives, false
+	case errors.Is(answer.err, os.ErrDeadlineExceeded) && nc.SetDeadline(time.Time{}) == nil:
+		return Lives, len(e.Probe) == 0
 	case errors.Is(answer.err, io.ErrUnexpectedEOF):
-		return Unknown
+		return Unknown, false
 	}
-	return ""
+	return "", false
 }
 
 // probeAnswer keeps how far the answer to a probe got.
--- a/internal/kcconn/unframed_end_test.go
+++ b/internal/kcconn/unframed_end_test.go
@@ -100,3 +100,45 @@
 	}
 	return client, nil
 }
+
+// Guards against a connection that carries a request after a check has read from it.
+func TestConnectionOfWhichACheckHasReadIsNotKept(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened := make(chan int, 1)
+	go func() {
+		n := 0
+		for ; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				break
+			}
+			if n == 0 {
+				_, _ = io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n")
+			}
+			go func() {
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 2\r\n\r\nok")
+				}
+				_ = c.Close()
+			}()
+		}
+		opened <- n
+	}()
+	p := newPool(t, kcclock.NewManual(1000))
+	addr := ln.Addr().String()
+	if found := p.Liveness(t.Context(), addr, "", ""); found != kcconn.Lives {
+		t.Errorf("%s, want that the server lives", found)
+	}
+	resp, err := p.Do(t.Context(), addr, &kcconn.Request{Method: http.MethodPost, Target: "/", Host: addr, ID: "q"})
+	if err == nil {
+		resp.Abort()
+	}
+	_ = ln.Close()
+	if n := <-opened; n != 2 || err != nil {
+		t.Errorf("%d connections, %v, want 2", n, err)
+	}
+}
